Serve the whole path on the users' platform with one process per VM

Cause: the product ran only against its own stand-in of the platform.

A new crate `entry` holds the daemon of an entry VM: one thread, callers in, backend servers out, look-ups, and messages between entry VMs. `steer` holds the decisions apart from I/O, `fleet` what an entry VM is told, and `platform/` the users' names, formats and calls.

Before: nothing to run.

--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,256 @@
+//! Answers to callers.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+
+use crate::head::{self, Fields, has_token};
+use crate::names::Names;
+
+/// An answer on its way to a caller.
+#[derive(Debug)]
+pub struct Reply {
+    /// Head without its last empty line.
+    head: BytesMut,
+    /// Body.
+    body: Bytes,
+    /// Whether the connection ends with it.
+    pub closes: bool,
+}
+
+/// An answer of the entry VM's own in place of a backend server's.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Refusal {
+    /// The request is malformed.
+    Malformed,
+    /// Its head is too large.
+    HeadTooLarge,
+    /// Its body is too large.
+    BodyTooLarge,
+    /// It took too long to arrive.
+    TooSlow,
+    /// No configuration is known yet.
+    Starting,
+    /// There is no such route.
+    NoRoute,
+    /// Its key is missing or unknown.
+    NoKey,
+    /// The workspace has used up its rate.
+    OverRate(Duration),
+    /// No backend server has room.
+    NoRoom(Duration),
+    /// No backend server may take it now.
+    NoServer(Duration),
+    /// Requests like it crash backend servers.
+    Quarantined,
+    /// It may have run, and its answer is lost.
+    Lost,
+    /// There was no answer in time; it may have run.
+    TimedOut,
+}
+
+impl Refusal {
+    /// Returns the status.
+    #[must_use]
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::NoKey => 401,
+            Self::NoRoute => 404,
+            Self::TooSlow => 408,
+            Self::BodyTooLarge => 413,
+            Self::OverRate(_) => 429,
+            Self::HeadTooLarge => 431,
+            Self::Lost => 502,
+            Self::Starting | Self::NoRoom(_) | Self::NoServer(_) | Self::Quarantined => 503,
+            Self::TimedOut => 504,
+        }
+    }
+
+    /// Returns the name that logs and metrics use.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::HeadTooLarge => "head-too-large",
+            Self::BodyTooLarge => "body-too-large",
+            Self::TooSlow => "request-too-slow",
+            Self::Starting => "starting",
+            Self::NoRoute => "no-route",
+            Self::NoKey => "no-key",
+            Self::OverRate(_) => "over-rate",
+            Self::NoRoom(_) => "no-room",
+            Self::NoServer(_) => "no-server",
+            Self::Quarantined => "quarantined",
+            Self::Lost => "answer-lost",
+            Self::TimedOut => "timed-out",
+        }
+    }
+
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::OverRate(after) | Self::NoRoom(after) | Self::NoServer(after) => Some(after),
+            Self::Starting => Some(Duration::from_millis(300)),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the connection cannot be read further.
+    fn closes(self) -> bool {
+        matches!(
+            self,
+            Self::Malformed | Self::HeadTooLarge | Self::BodyTooLarge | Self::TooSlow
+        )
+    }
+}
+
+impl Reply {
+    /// Creates an answer with a body of the entry VM's own.
+    #[must_use]
+    pub fn own(status: u16, content_type: Option<&str>, body: Bytes) -> Self {
+        let mut head = BytesMut::with_capacity(128);
+        push(&mut head, format_args!("HTTP/1.1 {status} {}\r\n", reason(status)));
+        if let Some(content_type) = content_type {
+            push(&mut head, format_args!("Content-Type: {content_type}\r\n"));
+        }
+        push(&mut head, format_args!("Content-Length: {}\r\n", body.len()));
+        Self {
+            head,
+            body,
+            closes: false,
+        }
+    }
+
+    /// Creates the answer that tells a caller of `refusal`.
+    #[must_use]
+    pub fn refused(refusal: Refusal) -> Self {
+        let mut reply = Self::own(refusal.status(), None, Bytes::new());
+        if let Some(after) = refusal.retry_after() {
+            let after_s = after.as_secs_f64();
+            push(&mut reply.head, format_args!("Retry-After: {after_s:.3}\r\n"));
+        }
+        reply.closes = refusal.closes();
+        reply
+    }
+
+    /// Creates the answer that passes on a backend server's.
+    #[must_use]
+    pub fn passed_on(answer: &head::Answer, body: Bytes, to_head: bool) -> Self {
+        let mut head = BytesMut::with_capacity(256);
+        push(&mut head, format_args!("HTTP/1.1 {} ", answer.status));
+        head.extend_from_slice(&answer.reason);
+        head.extend_from_slice(b"\r\n");
+        let keeps_length = to_head || answer.status == 304;
+        for (name, value) in end_to_end(&answer.fields) {
+            let is_length = name.eq_ignore_ascii_case(b"content-length");
+            if !is_length || keeps_length {
+                line(&mut head, name, value);
+            }
+        }
+        if !keeps_length && answer.status != 204 {
+            push(&mut head, format_args!("Content-Length: {}\r\n", body.len()));
+        }
+        Self {
+            head,
+            body,
+            closes: false,
+        }
+    }
+
+    /// Returns the bytes of the head and the body.
+    #[must_use]
+    pub fn into_parts(mut self) -> (Bytes, Bytes) {
+        if self.closes {
+            self.head.extend_from_slice(b"Connection: close\r\n");
+        }
+        self.head.extend_from_slice(b"\r\n");
+        (self.head.freeze(), self.body)
+    }
+}
+
+/// Returns the head of `request` as it goes to the backend server `target`.
+#[must_use]
+pub fn forwarded(
+    request: &head::Request,
+    names: &Names,
+    body_length: usize,
+    left_ms: u128,
+    target: &str,
+    workspace: Option<&str>,
+) -> Bytes {
+    let mut head = BytesMut::with_capacity(512);
+    head.extend_from_slice(&request.method);
+    head.extend_from_slice(b" ");
+    head.extend_from_slice(&request.target);
+    head.extend_from_slice(b" HTTP/1.1\r\n");
+    let own = [names.key, names.workspace, names.target, names.deadline];
+    for (name, value) in end_to_end(&request.fields) {
+        let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
+        if !own.iter().any(|own| is(own)) && !is(&"content-length") && !is(&"expect") {
+            line(&mut head, name, value);
+        }
+    }
+    push(&mut head, format_args!("{}: {left_ms}\r\n", names.deadline));
+    push(&mut head, format_args!("{}: {target}\r\n", names.target));
+    if let Some(workspace) = workspace {
+        push(&mut head, format_args!("{}: {workspace}\r\n", names.workspace));
+    }
+    if body_length > 0 || !matches!(&request.method[..], b"GET" | b"HEAD") {
+        push(&mut head, format_args!("Content-Length: {body_length}\r\n"));
+    }
+    head.extend_from_slice(b"\r\n");
+    head.freeze()
+}
+
+/// Returns the headers that do not concern one connection only.
+fn end_to_end(fields: &Fields) -> impl Iterator<Item = (&[u8], &[u8])> {
+    const HOP_BY_HOP: [&str; 8] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "upgrade",
+    ];
+    let is_named = |name: &[u8]| {
+        let name = std::str::from_utf8(name).unwrap_or_default();
+        fields.all("connection").any(|value| has_token(value, name))
+    };
+    fields.iter().filter(move |(name, _)| {
+        let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
+        !HOP_BY_HOP.iter().any(|hop| is(hop)) && !is(&"transfer-encoding") && !is_named(name)
+    })
+}
+
+fn line(head: &mut BytesMut, name: &[u8], value: &[u8]) {
+    head.extend_from_slice(name);
+    head.extend_from_slice(b": ");
+    head.extend_from_slice(value);
+    head.extend_from_slice(b"\r\n");
+}
+
+fn push(head: &mut BytesMut, text: std::fmt::Arguments<'_>) {
+    // Writing to memory cannot fail.
+    let _ = head.write_fmt(text);
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Unknown",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,97 @@
+//! Starting and stopping the daemon.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use event::Event;
+use eyre::WrapErr;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::accept;
+use crate::caller::Role;
+use crate::names::Names;
+use crate::peers;
+use crate::settings::Settings;
+use crate::state::State;
+use crate::store::Store;
+use crate::sync;
+
+/// Part of the grace after which idle connections are closed, in percent.
+const CLOSE_PERCENT: u32 = 70;
+
+/// Part of the grace after which the process ends, in percent.
+const END_PERCENT: u32 = 88;
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub fn run<S: Store + 'static>(settings: Settings, names: Names, store: S) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, serve(settings, names, store))
+}
+
+async fn serve<S: Store + 'static>(
+    settings: Settings,
+    names: Names,
+    store: S,
+) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let listen = settings.listen.clone();
+    event::emit(&Event::EntryStarted {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+    });
+    let state = Rc::new(State::new(settings, names));
+    start(&state, listen.callers, Role::Requests)?;
+    start(&state, listen.ready, Role::Ready)?;
+    start(&state, listen.lookups, Role::Lookups)?;
+    start(&state, listen.state, Role::State)?;
+    let (reader, announcer) = (store.another(), store);
+    spawn_local(sync::run(Rc::clone(&state), reader));
+    spawn_local(sync::announce(Rc::clone(&state), announcer));
+    let peers = spawn_local(peers::run(Rc::clone(&state)));
+    tokio::pin!(peers);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => event::emit(&Event::SettingsKept { vm: state.settings.vm.clone() }),
+            ended = &mut peers => {
+                ended?.wrap_err("messages between entry VMs")?;
+            }
+        }
+    }
+    stop(&state).await;
+    Ok(())
+}
+
+fn start(state: &Rc<State>, addr: Option<SocketAddr>, role: Role) -> eyre::Result<()> {
+    let Some(addr) = addr else { return Ok(()) };
+    let listener = accept::listen(addr).wrap_err_with(|| format!("cannot listen on {addr}"))?;
+    spawn_local(accept::run(Rc::clone(state), listener, role));
+    Ok(())
+}
+
+/// Sends callers elsewhere, finishes what has begun, and returns when the process may end.
+async fn stop(state: &State) {
+    let grace = state.settings.bounds.grace;
+    event::emit(&Event::EntryLeaving {
+        vm: state.settings.vm.clone(),
+    });
+    state.leave();
+    let close_after = grace * CLOSE_PERCENT / 100;
+    let end_after = grace * END_PERCENT / 100;
+    sleep(close_after).await;
+    state.close();
+    sleep(end_after.saturating_sub(close_after).max(Duration::from_millis(1))).await;
+    event::emit(&Event::EntryStopped {
+        vm: state.settings.vm.clone(),
+    });
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,28 @@
+//! Daemon of an entry VM: callers' requests in, backend servers' answers out.
+//!
+//! One thread runs everything, so shared state needs no locks. The platform is met through
+//! [`Store`], [`Names`] and [`Settings`] only.
+
+mod accept;
+mod answer;
+mod body;
+mod caller;
+mod counts;
+mod daemon;
+mod head;
+mod lookup;
+mod names;
+mod neighbour;
+mod peers;
+mod serve;
+mod servers;
+mod settings;
+mod state;
+mod store;
+mod sync;
+mod upstream;
+
+pub use daemon::run;
+pub use names::Names;
+pub use settings::{Bounds, Listen, Settings};
+pub use store::{Batch, Page, Raw, Store, StoreError};
--- /dev/null
+++ b/crates/entry/src/servers.rs
@@ -0,0 +1,203 @@
+//! Backend servers as this entry VM uses them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use fleet::{Phase, Server, ServerId};
+use steer::cold::Cold;
+use steer::place::{Distance, hash};
+
+use crate::upstream::Idle;
+
+/// Time for which a told load counts in full.
+const TOLD_FULL: Duration = Duration::from_millis(500);
+
+/// Shortest time for which a server that could not be reached gets no request.
+const DOWN: Duration = Duration::from_millis(400);
+
+/// Longest such time.
+const DOWN_MOST: Duration = Duration::from_millis(3_200);
+
+/// A backend server with this entry VM's requests and connections.
+#[derive(Debug)]
+pub struct Live {
+    /// Name.
+    pub id: ServerId,
+    /// Hash of the name.
+    pub hash: u64,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Service.
+    pub service: String,
+    /// Zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// Distance from this entry VM.
+    pub distance: Distance,
+    /// Requests that it runs at once.
+    pub slots: Cell<u32>,
+    /// Whether it takes new work.
+    pub ready: Cell<bool>,
+    /// Its warmth.
+    pub cold: RefCell<Cold>,
+    /// Idle connections, the latest last.
+    pub idle: RefCell<Vec<Idle>>,
+    in_flight: Cell<u32>,
+    told: Cell<Option<Told>>,
+    down: Cell<Option<Down>>,
+}
+
+/// Load that a server told.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    /// Requests of other entry VMs.
+    others: f64,
+    at: Instant,
+}
+
+/// A server that could not be reached.
+#[derive(Debug, Clone, Copy)]
+struct Down {
+    until: Instant,
+    pause: Duration,
+}
+
+/// A request counted at a server until dropped.
+#[derive(Debug)]
+pub struct Ticket(Rc<Live>);
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// All backend servers.
+#[derive(Debug, Default)]
+pub struct Servers {
+    by_id: HashMap<ServerId, Rc<Live>>,
+    by_service: HashMap<String, Vec<Rc<Live>>>,
+}
+
+impl Live {
+    /// Creates a server without requests.
+    #[must_use]
+    pub fn new(server: &Server, region: &str, distance: Distance, now: Instant) -> Self {
+        let entry = &server.entry;
+        let mut cold = Cold::default();
+        cold.note_heartbeat(entry.warmup_left, now);
+        Self {
+            id: Rc::clone(&server.id),
+            hash: hash(server.id.as_bytes()),
+            addr: entry.addr,
+            service: entry.service.clone(),
+            zone: entry.zone.clone(),
+            region: region.to_owned(),
+            distance,
+            slots: Cell::new(entry.slots),
+            ready: Cell::new(entry.phase == Phase::Ready),
+            cold: RefCell::new(cold),
+            idle: RefCell::default(),
+            in_flight: Cell::new(0),
+            told: Cell::new(None),
+            down: Cell::new(None),
+        }
+    }
+
+    /// Counts a request that is about to be sent.
+    #[must_use]
+    pub fn ticket(self: &Rc<Self>, now: Instant) -> Ticket {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.cold.borrow_mut().note_sent(now);
+        Ticket(Rc::clone(self))
+    }
+
+    /// Returns the requests that the server is believed to have.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> f64 {
+        f64::from(self.in_flight.get()) + self.told.get().map_or(0.0, |told| told.others(now))
+    }
+
+    /// Takes the load that an answer told: requests running and waiting. The answered request is
+    /// still counted in flight here.
+    pub fn note_load(&self, running: u32, waiting: u32, now: Instant) {
+        let own = f64::from(self.in_flight.get().saturating_sub(1));
+        let others = (f64::from(running + waiting) - own).max(0.0);
+        self.told.set(Some(Told { others, at: now }));
+    }
+
+    /// Returns whether requests may be sent to it at all.
+    #[must_use]
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.ready.get() && self.down.get().is_none_or(|down| now >= down.until)
+    }
+
+    /// Notes that it could not be reached, or broke off a request.
+    pub fn note_unreached(&self, now: Instant) {
+        let pause = self.down.get().map_or(DOWN, |down| (down.pause * 2).min(DOWN_MOST));
+        let until = now + pause;
+        self.down.set(Some(Down { until, pause }));
+        self.cold.borrow_mut().suspect(now);
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Notes an answer.
+    pub fn note_answer(&self) {
+        self.down.set(None);
+    }
+}
+
+impl Told {
+    fn others(&self, now: Instant) -> f64 {
+        let age = now.duration_since(self.at);
+        if age <= TOLD_FULL {
+            return self.others;
+        }
+        let halvings = (age - TOLD_FULL).as_secs_f64() / TOLD_FULL.as_secs_f64();
+        self.others * 0.5_f64.powf(halvings)
+    }
+}
+
+impl Servers {
+    /// Returns the servers of `service`.
+    #[must_use]
+    pub fn of(&self, service: &str) -> &[Rc<Live>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the server `id`.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Rc<Live>> {
+        self.by_id.get(id)
+    }
+
+    /// Returns all servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Live>> {
+        self.by_id.values()
+    }
+
+    /// Puts a new incarnation in the place of an earlier one.
+    pub fn put(&mut self, live: Live) {
+        self.remove(&live.id.clone());
+        let live = Rc::new(live);
+        self.by_id.insert(Rc::clone(&live.id), Rc::clone(&live));
+        let servers = self.by_service.entry(live.service.clone()).or_default();
+        servers.push(live);
+    }
+
+    /// Forgets the server `id`; its requests go on.
+    pub fn remove(&mut self, id: &str) {
+        let Some(live) = self.by_id.remove(id) else {
+            return;
+        };
+        live.ready.set(false);
+        live.idle.borrow_mut().clear();
+        if let Some(servers) = self.by_service.get_mut(&live.service) {
+            servers.retain(|server| !Rc::ptr_eq(server, &live));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,363 @@
+//! State that all tasks of the daemon share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use event::Event;
+use fleet::config::Limits;
+use fleet::roster::Change;
+use fleet::{Config, Entry, Item, Roster, Version};
+use steer::budget::Budget;
+use steer::cold::Vm;
+use steer::place::{Distance, Spill, hash};
+use steer::quota::Bucket;
+use steer::split::Split;
+use tokio::sync::watch;
+
+use crate::counts::Counts;
+use crate::names::Names;
+use crate::peers::Peers;
+use crate::servers::{Live, Servers};
+use crate::settings::Settings;
+use crate::store::Raw;
+
+/// State of the daemon.
+#[derive(Debug)]
+pub struct State {
+    /// Settings in force.
+    pub settings: Settings,
+    /// Header names.
+    pub names: Names,
+    /// Backend servers.
+    pub servers: RefCell<Servers>,
+    /// Other entry VMs.
+    pub peers: RefCell<Peers>,
+    /// Tokens by workspace.
+    pub buckets: RefCell<HashMap<String, Bucket>>,
+    /// Repeats by service.
+    pub budgets: RefCell<HashMap<String, Budget>>,
+    /// Shares by route.
+    pub splits: RefCell<HashMap<String, Split>>,
+    /// Objects that begin away from this zone, by service.
+    pub spills: RefCell<HashMap<String, Spill>>,
+    /// Counters.
+    pub counts: Counts,
+    config: RefCell<Option<Rc<Config>>>,
+    roster: RefCell<Roster>,
+    /// Keys as the store holds them, for entry VMs that cannot read it.
+    raw: RefCell<BTreeMap<String, Raw>>,
+    revision: Cell<u64>,
+    has_read: Cell<bool>,
+    phase: watch::Sender<Phase>,
+}
+
+/// How far the daemon is from its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    Serving,
+    Leaving,
+    Closing,
+}
+
+impl State {
+    /// Creates the state of a daemon that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, names: Names) -> Self {
+        let (phase, _) = watch::channel(Phase::Serving);
+        let peers = Peers::new(&settings);
+        Self {
+            settings,
+            names,
+            servers: RefCell::default(),
+            peers: RefCell::new(peers),
+            buckets: RefCell::default(),
+            budgets: RefCell::default(),
+            splits: RefCell::default(),
+            spills: RefCell::default(),
+            counts: Counts::default(),
+            config: RefCell::default(),
+            roster: RefCell::default(),
+            raw: RefCell::default(),
+            revision: Cell::new(0),
+            has_read: Cell::new(false),
+            phase,
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Returns the version in force.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        let config = self.config.borrow();
+        config.as_ref().map(|config| config.version).unwrap_or_default()
+    }
+
+    /// Returns the bounds on what callers may send.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        let config = self.config.borrow();
+        config.as_ref().map(|config| config.limits).unwrap_or_default()
+    }
+
+    /// Returns the store's revision up to which changes are known.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Notes that all changes up to `revision` are known.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision.set(revision);
+        self.has_read.set(true);
+    }
+
+    /// Returns whether the daemon can serve callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.has_read.get() && self.config.borrow().is_some()
+    }
+
+    /// Returns whether the daemon has begun to stop.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        *self.phase.borrow() >= Phase::Leaving
+    }
+
+    /// Begins to stop: callers are told to go elsewhere.
+    pub fn leave(&self) {
+        self.phase.send_replace(Phase::Leaving);
+    }
+
+    /// Ends idle connections.
+    pub fn close(&self) {
+        self.phase.send_replace(Phase::Closing);
+    }
+
+    /// Waits until the daemon begins to stop.
+    pub async fn left(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the state.
+        let _ = phase.wait_for(|phase| *phase >= Phase::Leaving).await;
+    }
+
+    /// Waits until idle connections are to end.
+    pub async fn closing(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the state.
+        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+    }
+
+    /// Returns the region of `zone`.
+    #[must_use]
+    pub fn region_of(&self, zone: &str) -> &str {
+        self.settings.zones.get(zone).map_or("", String::as_str)
+    }
+
+    /// Returns the keys as the store holds them.
+    #[must_use]
+    pub fn raw(&self) -> Vec<Raw> {
+        self.raw.borrow().values().cloned().collect()
+    }
+
+    /// Takes a key of the store that `item` is the meaning of.
+    pub fn apply(&self, raw: Raw, item: Item) {
+        match item {
+            Item::Other => return,
+            Item::Config(config) => self.put_in_force(*config),
+            Item::Server { id, entry } => self.register(&id, entry),
+            Item::ServerGone { id } => self.forget(&id),
+            Item::Evacuated { zone } => self.evacuate(&zone, true),
+            Item::Restored { zone } => self.evacuate(&zone, false),
+            Item::Member { vm, bytes } => self.peers.borrow_mut().announce(&vm, &bytes),
+            Item::MemberGone { vm } => self.peers.borrow_mut().withdraw(&vm),
+            Item::Unreadable { key, problem } => {
+                event::emit(&Event::KeyUnreadable { key, problem });
+                return;
+            }
+        }
+        let mut kept = self.raw.borrow_mut();
+        if raw.value.is_some() {
+            kept.insert(raw.key.clone(), raw);
+        } else {
+            kept.remove(&raw.key);
+        }
+    }
+
+    /// Returns the keys that are kept and not among `listed`.
+    #[must_use]
+    pub fn unlisted(&self, listed: &std::collections::HashSet<String>) -> Vec<String> {
+        let kept = self.raw.borrow();
+        kept.keys().filter(|key| !listed.contains(*key)).cloned().collect()
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn note_outage_end(&self, now: Instant) {
+        self.roster.borrow_mut().note_outage_end(now);
+    }
+
+    /// Gives up backend servers that have not registered again in time.
+    pub fn expire(&self, now: Instant) {
+        let expired = self.roster.borrow_mut().expire(now);
+        for server in expired {
+            self.drop_server(&server.id);
+        }
+    }
+
+    fn put_in_force(&self, config: Config) {
+        if self.config.borrow().is_some() && config.version <= self.version() {
+            return;
+        }
+        event::emit(&Event::ConfigInForce {
+            revision: config.version.0,
+        });
+        self.config.replace(Some(Rc::new(config)));
+        self.rebalance(0.0);
+    }
+
+    fn register(&self, id: &str, entry: Entry) {
+        let now = Instant::now();
+        let change = self.roster.borrow_mut().register(id, entry);
+        let roster = self.roster.borrow();
+        let Some(server) = roster.server(id) else {
+            return;
+        };
+        let mut servers = self.servers.borrow_mut();
+        match (change, servers.get(id)) {
+            (Change::None, Some(_)) => {}
+            (Change::Heartbeat | Change::Leaving, Some(live)) if live.addr == server.entry.addr => {
+                live.slots.set(server.entry.slots);
+                live.ready.set(server.entry.phase == fleet::Phase::Ready);
+                live.cold.borrow_mut().note_heartbeat(server.entry.warmup_left, now);
+                if change == Change::Leaving {
+                    live.idle.borrow_mut().clear();
+                    event::emit(&Event::ServerLeaving { server: id.to_owned() });
+                }
+            }
+            _ => {
+                let zone = &server.entry.zone;
+                let region = self.region_of(zone).to_owned();
+                let live = Live::new(server, &region, self.distance(zone), now);
+                servers.put(live);
+                event::emit(&Event::ServerJoined {
+                    server: id.to_owned(),
+                    service: server.entry.service.clone(),
+                    zone: zone.clone(),
+                    backend: server.entry.addr,
+                });
+            }
+        }
+    }
+
+    fn distance(&self, zone: &str) -> Distance {
+        if zone == self.settings.zone {
+            Distance::Zone
+        } else if self.region_of(zone) == self.settings.region {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
+    }
+
+    fn forget(&self, id: &str) {
+        let removed = self.roster.borrow_mut().remove(id, Instant::now());
+        if removed.is_some() {
+            self.drop_server(id);
+        }
+    }
+
+    fn drop_server(&self, id: &str) {
+        self.servers.borrow_mut().remove(id);
+        event::emit(&Event::ServerGone { server: id.to_owned() });
+    }
+
+    /// Begins or ends the evacuation of a zone. Its servers may be cold afterwards.
+    fn evacuate(&self, zone: &str, evacuated: bool) {
+        if !self.roster.borrow_mut().set_evacuated(zone, evacuated) {
+            return;
+        }
+        let now = Instant::now();
+        event::emit(&Event::ZoneEvacuated {
+            zone: zone.to_owned(),
+            evacuated,
+        });
+        let servers = self.servers.borrow();
+        for live in servers.iter().filter(|live| live.zone == zone) {
+            live.cold.borrow_mut().suspect(now);
+        }
+    }
+
+    /// Returns whether no requests may go to `zone`.
+    #[must_use]
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.roster.borrow().is_evacuated(zone)
+    }
+
+    /// Returns whether this entry VM may send work to the cold server `live`.
+    #[must_use]
+    pub fn owns(&self, live: &Live) -> bool {
+        let peers = self.peers.borrow();
+        let own = Vm {
+            name: hash(self.settings.vm.as_bytes()),
+            zone: &self.settings.zone,
+            region: &self.settings.region,
+        };
+        let mut vms = peers.serving(Instant::now());
+        vms.push(own);
+        steer::cold::owner(live.hash, &live.zone, &live.region, &vms) == Some(own.name)
+    }
+
+    /// Works out the shares of the workspaces' rates after `elapsed_s` seconds.
+    pub fn rebalance(&self, elapsed_s: f64) {
+        let Some(config) = self.config() else {
+            return;
+        };
+        let now = Instant::now();
+        let peers = self.peers.borrow();
+        let mut buckets = self.buckets.borrow_mut();
+        for workspace in config.keys.values().filter(|workspace| workspace.rate_per_s > 0.0) {
+            let (rate, burst) = (workspace.rate_per_s, workspace.burst);
+            let others = peers.others(&workspace.name, now);
+            let bucket = buckets
+                .entry(workspace.name.clone())
+                .or_insert_with(|| Bucket::new(rate, burst, others.vms, now));
+            bucket.rebalance(rate, burst, others, elapsed_s, now);
+        }
+    }
+
+    /// Counts a repeat for `service` if there is room for it.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let vms = self.peers.borrow().count();
+        let mut budgets = self.budgets.borrow_mut();
+        let bound = self.settings.bounds.repeats;
+        let budget = budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| Budget::new(bound));
+        budget.take(vms, Instant::now())
+    }
+
+    /// Counts a request for `service`.
+    pub fn note_request(&self, service: &str) {
+        let mut budgets = self.budgets.borrow_mut();
+        let now = Instant::now();
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.note_request(now);
+            return;
+        }
+        let mut budget = Budget::new(self.settings.bounds.repeats);
+        budget.note_request(now);
+        budgets.insert(service.to_owned(), budget);
+    }
+
+    /// Returns the interval at which shares are worked out.
+    #[must_use]
+    pub fn rebalance_interval() -> Duration {
+        Duration::from_millis(500)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/store.rs
@@ -0,0 +1,102 @@
+//! The platform's store as the daemon uses it.
+
+use std::time::Duration;
+
+use fleet::Item;
+use serde::{Deserialize, Serialize};
+
+/// A key as the store holds it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Raw {
+    /// The key.
+    pub key: String,
+    /// The value; absent if the key was removed.
+    pub value: Option<Vec<u8>>,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+/// A page of a listing.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Page {
+    /// Keys in order.
+    pub items: Vec<Raw>,
+    /// Whether more follow.
+    pub has_more: bool,
+    /// Revision of the store.
+    pub revision: u64,
+}
+
+/// Changes after a revision.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Batch {
+    /// Changes in order.
+    pub events: Vec<Raw>,
+    /// Revision to go on from.
+    pub revision: u64,
+}
+
+/// Why a call to the store failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// No answer came in time. A write may have been done.
+    Unanswered(String),
+    /// The store does not serve the call; nothing was done.
+    Refused(u16),
+    /// The history asked for is no longer there.
+    Compacted,
+    /// What was named does not exist.
+    NotFound,
+    /// The answer could not be read.
+    Malformed(String),
+}
+
+impl std::fmt::Display for StoreError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unanswered(error) => write!(f, "no answer: {error}"),
+            Self::Refused(status) => write!(f, "refused with status {status}"),
+            Self::Compacted => write!(f, "history no longer available"),
+            Self::NotFound => write!(f, "not found"),
+            Self::Malformed(error) => write!(f, "malformed answer: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// Calls to the platform's store. One value makes one call at a time.
+pub trait Store {
+    /// Returns the keys that follow `after`.
+    fn list(&mut self, after: &str) -> impl Future<Output = Result<Page, StoreError>>;
+
+    /// Returns the changes after `revision`, as soon as there are any or `wait` has passed.
+    fn watch(
+        &mut self,
+        revision: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Batch, StoreError>>;
+
+    /// Returns a new lease of `ttl`.
+    fn grant_lease(&mut self, ttl: Duration) -> impl Future<Output = Result<u64, StoreError>>;
+
+    /// Renews a lease.
+    fn renew_lease(&mut self, lease: u64) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Ends a lease; its keys go with it.
+    fn end_lease(&mut self, lease: u64) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Announces the VM `vm` with `bytes` under `lease`.
+    fn announce(
+        &mut self,
+        vm: &str,
+        bytes: &[u8],
+        lease: u64,
+    ) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Says what a key means.
+    fn decode(&self, raw: &Raw) -> Item;
+
+    /// Returns another value that makes calls beside this one.
+    fn another(&self) -> Self;
+}
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -63,4 +63,15 @@
     2008 warn ConnectionsFull { connections: u64 } "Callers' connections have reached their bound; further ones are turned away.";
     2009 warn AnswerRefused { request: String, service: String, backend: SocketAddr } "The end of a backend server's answer was not certain, so it was not passed on.";
     2016 info OperationsHandedOver { operations: u64, kept: bool } "A stopping gate gave operations to another VM; `kept` says whether one has them.";
+    3001 info EntryStarted { vm: String, zone: String } "An entry VM's daemon accepts callers.";
+    3002 info EntryLeaving { vm: String } "The daemon was told to stop and sends callers elsewhere.";
+    3003 info EntryStopped { vm: String } "The daemon has stopped.";
+    3004 info SettingsKept { vm: String } "The daemon was told that its settings changed; nothing that it uses did.";
+    3005 info ServerJoined { server: String, service: String, zone: String, backend: SocketAddr } "A backend server's incarnation was registered.";
+    3006 info ServerLeaving { server: String } "A backend server takes no new work.";
+    3007 info ServerGone { server: String } "A backend server's registration is gone.";
+    3008 info ZoneEvacuated { zone: String, evacuated: bool } "The evacuation of a zone began or ended.";
+    3009 warn KeyUnreadable { key: String, problem: String } "A key of the store cannot be read; what was known stays.";
+    3010 warn NeighbourUnreachable { addr: SocketAddr, error: String } "Another entry VM did not tell its state.";
+    3011 info RequestEnded { request: String, status: u16, reason: String, route: String, service: String, server: String, sent: u32, config: u64, ms: u64 } "A request was answered; successes are sampled.";
 }
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,14 @@
+//! What an entry VM is told: configuration, backend servers and other entry VMs.
+//!
+//! Everything here is plain state that changes only by the values it is given, so it can be
+//! tested without a network.
+
+pub mod config;
+pub mod item;
+pub mod roster;
+pub mod server;
+
+pub use config::{Config, Kind, Route, Service, Target, Version, Workspace};
+pub use item::Item;
+pub use roster::Roster;
+pub use server::{Entry, Phase, Server, ServerId};
--- /dev/null
+++ b/crates/steer/src/cold.rs
@@ -0,0 +1,102 @@
+//! Bringing load to cold backend servers.
+//!
+//! Answers a zone whose servers come back together, without their caches: a cold server that
+//! gets more than a certain rate crashes. The rate holds over all entry VMs, so one entry VM, the
+//! server's owner, sends it work while it is cold, and keeps to less than half of the bound, since
+//! entry VMs that are cut off from each other may both take themselves for the owner.
+
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::window::Window;
+
+/// Span over which a cold server's requests are counted.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// Part of the bound that one owner uses.
+const OWNER_PART: f64 = 0.45;
+
+/// Time for which a server stays suspect if no heartbeat clears it.
+const SUSPECT: Duration = Duration::from_secs(6);
+
+/// Age from which a heartbeat was certainly written after a failure: the time between two
+/// readings of the store.
+const FRESH: Duration = Duration::from_millis(1_000);
+
+/// What is believed of a server's warmth.
+#[derive(Debug)]
+pub struct Cold {
+    /// Until when it said that it stays cold.
+    until: Option<Instant>,
+    /// Since when it may have restarted without saying so yet.
+    suspect: Option<Instant>,
+    sent: Window,
+}
+
+impl Default for Cold {
+    fn default() -> Self {
+        Self {
+            until: None,
+            suspect: None,
+            sent: Window::new(SPAN),
+        }
+    }
+}
+
+impl Cold {
+    /// Takes a heartbeat which says that the server stays cold for `left`.
+    pub fn note_heartbeat(&mut self, left: Duration, now: Instant) {
+        self.until = (!left.is_zero()).then(|| now + left);
+        if self.suspect.is_some_and(|since| now >= since + FRESH) {
+            self.suspect = None;
+        }
+    }
+
+    /// Notes that the server may have restarted at `now`.
+    pub fn suspect(&mut self, now: Instant) {
+        self.suspect = Some(now);
+    }
+
+    /// Returns whether the server is cold or may be.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant) -> bool {
+        let says_so = self.until.is_some_and(|until| now < until);
+        says_so || self.suspect.is_some_and(|since| now < since + SUSPECT)
+    }
+
+    /// Returns whether the owner may send another request, if all entry VMs together may send
+    /// `bound` a second.
+    pub fn allows(&mut self, bound: f64, now: Instant) -> bool {
+        (self.sent.count(now) as f64) + 1.0 <= (bound * OWNER_PART).max(1.0)
+    }
+
+    /// Counts a request that was sent.
+    pub fn note_sent(&mut self, now: Instant) {
+        if self.is_cold(now) {
+            self.sent.note(now);
+        }
+    }
+}
+
+/// An entry VM that may own a cold server.
+#[derive(Debug, Clone, Copy)]
+pub struct Vm<'a> {
+    /// Hash of its name.
+    pub name: u64,
+    /// Its zone.
+    pub zone: &'a str,
+    /// Its region.
+    pub region: &'a str,
+}
+
+/// Returns the hash of the name of the VM that owns `server`: one in its zone, else in its region,
+/// else any.
+#[must_use]
+pub fn owner(server: u64, zone: &str, region: &str, vms: &[Vm<'_>]) -> Option<u64> {
+    let rank = |vm: &Vm<'_>| {
+        let near = u8::from(vm.region == region) + u8::from(vm.zone == zone);
+        (near, xxh3_64_with_seed(&vm.name.to_le_bytes(), server))
+    };
+    vms.iter().max_by_key(|vm| rank(vm)).map(|vm| vm.name)
+}
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions on placing, rejecting and repeating requests, apart from I/O.
+//!
+//! Each module answers one load pattern, which its documentation names. Time and state are
+//! arguments, so a test can replay the pattern.
+
+pub mod budget;
+pub mod cold;
+pub mod place;
+pub mod quota;
+pub mod split;
+pub mod window;
+
+pub use window::Window;
--- /dev/null
+++ b/crates/steer/src/place.rs
@@ -0,0 +1,102 @@
+//! Choosing a backend server.
+//!
+//! Answers requests for few objects on many servers: a server that handled an object lately is
+//! several times faster with it, so each object has an order of servers that every entry VM
+//! computes alike (rendezvous hashing), nearest servers first. A server that has no room is
+//! passed over for the next of the order. So that a zone with more work than slots moves whole
+//! objects and not single requests, a part of the objects, by their hash, begins elsewhere.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// How far a backend server is from the entry VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same zone.
+    Zone,
+    /// In the same region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// A backend server that may take a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Hash of the server's name.
+    pub server: u64,
+    /// Distance from this entry VM.
+    pub distance: Distance,
+    /// Requests that it is believed to have, running and waiting.
+    pub load: f64,
+    /// Requests that it can run at once without slowing down.
+    pub slots: f64,
+}
+
+/// Part of the objects that begin away from their zone, from 0 to 1.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Spill {
+    /// Part that begins in another zone of the region.
+    pub zone: f64,
+    /// Part that begins in another region.
+    pub region: f64,
+}
+
+/// Requests that may wait at a server, for each of its slots.
+const QUEUE: f64 = 0.5;
+
+/// Returns the hash of an object's or a server's name.
+#[must_use]
+pub fn hash(name: &[u8]) -> u64 {
+    xxh3_64(name)
+}
+
+/// Returns a number from 0 to 1 that depends on `object` alone.
+#[must_use]
+pub fn mix(object: u64) -> f64 {
+    let mixed = xxh3_64_with_seed(&object.to_le_bytes(), 1) >> 11;
+    mixed as f64 / (1u64 << 53) as f64
+}
+
+fn score(object: u64, server: u64) -> u64 {
+    xxh3_64_with_seed(&object.to_le_bytes(), server)
+}
+
+/// Returns the index of the candidate for `object`, or nothing if none has room.
+///
+/// A server with a free slot goes first, then one within the region whose queue is short, then
+/// one further away.
+#[must_use]
+pub fn choose(candidates: &[Candidate], object: u64, spill: Spill) -> Option<usize> {
+    let order = order(candidates, object, spill);
+    let is_near = |index: &&usize| candidates[**index].distance != Distance::Far;
+    let is_free = |index: &&usize| fits(&candidates[**index], 1.0);
+    let is_short = |index: &&usize| fits(&candidates[**index], 1.0 + QUEUE);
+    let away = mix(object) < spill.region;
+    let first = order.iter().find(|index| (away || is_near(index)) && is_free(index));
+    let first = first.or_else(|| order.iter().find(|index| is_near(index) && is_short(index)));
+    let first = first.or_else(|| order.iter().find(is_free));
+    first.or_else(|| order.iter().find(is_short)).copied()
+}
+
+fn fits(candidate: &Candidate, per_slot: f64) -> bool {
+    candidate.load + 1.0 <= (candidate.slots * per_slot).max(1.0)
+}
+
+/// Returns the candidates in the object's order.
+fn order(candidates: &[Candidate], object: u64, spill: Spill) -> Vec<usize> {
+    let part = mix(object);
+    let rank = |distance: Distance| match distance {
+        Distance::Far if part < spill.region => 0,
+        Distance::Region if part < spill.zone => 1,
+        Distance::Zone => 2,
+        Distance::Region => 3,
+        Distance::Far => 4,
+    };
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    order.sort_by_cached_key(|index| {
+        let candidate = &candidates[*index];
+        let score = score(object, candidate.server);
+        (rank(candidate.distance), std::cmp::Reverse(score))
+    });
+    order
+}
--- /dev/null
+++ b/crates/steer/src/window.rs
@@ -0,0 +1,42 @@
+//! Counting over a sliding window.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Times of the events within the last `span`.
+#[derive(Debug)]
+pub struct Window {
+    span: Duration,
+    times: VecDeque<Instant>,
+}
+
+impl Window {
+    /// Creates an empty window over `span`.
+    #[must_use]
+    pub fn new(span: Duration) -> Self {
+        Self {
+            span,
+            times: VecDeque::new(),
+        }
+    }
+
+    /// Counts an event at `now`.
+    pub fn note(&mut self, now: Instant) {
+        self.expire(now);
+        self.times.push_back(now);
+    }
+
+    /// Returns the number of events within the span before `now`.
+    pub fn count(&mut self, now: Instant) -> usize {
+        self.expire(now);
+        self.times.len()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some(first) = self.times.front()
+            && now.duration_since(*first) >= self.span
+        {
+            self.times.pop_front();
+        }
+    }
+}
