Serve each object by its first few backend servers and let objects spill slowly

Cause: any server with a free slot took a request when the nearest was full, so under load every request ran cold (p50 360 ms of 72 ms warm work) and pushed other objects out of the caches. Ruled out: processor time (0.02 cores of 0.2) and memory (14 MB).

Objects keep to their first three servers; what does not fit is rejected.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -14,6 +14,7 @@
 use steer::cold::Vm;
 use steer::place::hash;
 use steer::quota::Others;
+use steer::spill::Spill;
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -29,6 +30,9 @@
 /// Silence after which a withdrawn entry VM is forgotten.
 const FORGET: Duration = Duration::from_secs(10);
 
+/// Most workspaces, and most services, that a datagram tells of.
+const MAX_TOLD: usize = 32;
+
 /// Largest datagram, in bytes.
 const MAX_BYTES: usize = 1_400;
 
@@ -56,6 +60,21 @@
     pub revision: u64,
     /// Demand by the hash of a workspace's name, in requests a second.
     pub demand: Vec<(u64, f32)>,
+    /// Load by service.
+    pub loads: Vec<Load>,
+}
+
+/// What an entry VM tells of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// How busy the backend servers of the sender's zone are.
+    pub busy: f32,
+    /// Part of the sender's objects that begin in another zone.
+    pub spill_zone: f32,
+    /// Part of the sender's objects that begin in another region.
+    pub spill_region: f32,
 }
 
 #[derive(Debug)]
@@ -205,6 +224,33 @@
         others
     }
 
+    /// Returns how busy the backend servers of `service` are, by zone.
+    #[must_use]
+    pub fn busy(&self, service: &str, now: Instant) -> HashMap<&str, f64> {
+        let service = hash(service.as_bytes());
+        let mut busy = HashMap::new();
+        for hello in self.alive(now) {
+            if let Some(load) = hello.loads.iter().find(|load| load.service == service) {
+                let zone = busy.entry(hello.announcement.zone.as_str()).or_insert(0.0_f64);
+                *zone = zone.max(f64::from(load.busy));
+            }
+        }
+        busy
+    }
+
+    /// Returns which objects of `service` begin elsewhere at the other entry VMs of `zone`.
+    #[must_use]
+    pub fn spills(&self, service: &str, zone: &str, now: Instant) -> Vec<Spill> {
+        let service = hash(service.as_bytes());
+        let near = self.alive(now).filter(|hello| hello.announcement.zone == zone);
+        let loads = near.filter_map(|hello| hello.loads.iter().find(|load| load.service == service));
+        let spill = |load: &Load| Spill {
+            zone: f64::from(load.spill_zone),
+            region: f64::from(load.spill_region),
+        };
+        loads.map(spill).collect()
+    }
+
     /// Returns the state services of those that know more of the store than `revision`, nearest
     /// knowledge first.
     #[must_use]
@@ -267,7 +313,9 @@
                 let now = Instant::now();
                 state.peers.borrow_mut().expire(now);
                 state.expire(now);
-                state.rebalance(now.duration_since(last).as_secs_f64());
+                let elapsed_s = now.duration_since(last).as_secs_f64();
+                state.rebalance(elapsed_s);
+                state.spill(elapsed_s);
                 last = now;
                 greet(&state, &socket).await;
             }
@@ -288,18 +336,41 @@
 }
 
 fn hello(state: &State) -> Hello {
-    let buckets = state.buckets.borrow();
-    let demand = buckets.iter().filter(|(_, bucket)| bucket.demand() > 0.5);
-    let demand = demand.map(|(name, bucket)| {
-        #[allow(clippy::cast_possible_truncation)]
-        let demand = bucket.demand() as f32;
-        (hash(name.as_bytes()), demand)
-    });
     Hello {
         vm: state.settings.vm.clone(),
         announcement: announcement(&state.settings),
         callers: state.settings.listen.callers.filter(|_| state.is_ready()),
         revision: state.revision(),
-        demand: demand.take(64).collect(),
+        demand: demand(state),
+        loads: loads(state),
     }
 }
+
+/// Returns the demand of the workspaces that have some.
+fn demand(state: &State) -> Vec<(u64, f32)> {
+    let buckets = state.buckets.borrow();
+    let asking = buckets.iter().filter(|(_, bucket)| bucket.demand() > 0.5);
+    let demand = asking.map(|(name, bucket)| (hash(name.as_bytes()), short(bucket.demand())));
+    demand.take(MAX_TOLD).collect()
+}
+
+fn loads(state: &State) -> Vec<Load> {
+    let busy = state.busy.borrow();
+    let spills = state.spills.borrow();
+    let load = |(service, busy): (&String, &f64)| {
+        let spill = spills.get(service).copied().unwrap_or_default();
+        Load {
+            service: hash(service.as_bytes()),
+            busy: short(*busy),
+            spill_zone: short(spill.zone),
+            spill_region: short(spill.region),
+        }
+    };
+    busy.iter().map(load).take(MAX_TOLD).collect()
+}
+
+/// Returns `value` in the precision of a datagram.
+#[allow(clippy::cast_possible_truncation)]
+fn short(value: f64) -> f32 {
+    value as f32
+}
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -169,6 +169,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the names of the services.
+    pub fn services(&self) -> impl Iterator<Item = &String> {
+        self.by_service.keys()
+    }
+
     /// Returns the server `id`.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Rc<Live>> {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use event::Event;
 use fleet::config::Limits;
@@ -11,7 +11,8 @@
 use fleet::{Config, Entry, Item, Roster, Version};
 use steer::budget::Budget;
 use steer::cold::Vm;
-use steer::place::{Distance, Spill, hash};
+use steer::place::{Distance, hash};
+use steer::spill::{Busy, Spill};
 use steer::quota::Bucket;
 use steer::split::Split;
 use tokio::sync::watch;
@@ -23,6 +24,9 @@
 use crate::settings::Settings;
 use crate::store::Raw;
 
+/// Busyness of a zone without backend servers, which all its work must leave.
+const NO_SLOTS_BUSY: f64 = 2.0;
+
 /// State of the daemon.
 #[derive(Debug)]
 pub struct State {
@@ -42,6 +46,8 @@
     pub splits: RefCell<HashMap<String, Split>>,
     /// Objects that begin away from this zone, by service.
     pub spills: RefCell<HashMap<String, Spill>>,
+    /// How busy the backend servers of this zone are, by service.
+    pub busy: RefCell<HashMap<String, f64>>,
     /// Counters.
     pub counts: Counts,
     config: RefCell<Option<Rc<Config>>>,
@@ -76,6 +82,7 @@
             budgets: RefCell::default(),
             splits: RefCell::default(),
             spills: RefCell::default(),
+            busy: RefCell::default(),
             counts: Counts::default(),
             config: RefCell::default(),
             roster: RefCell::default(),
@@ -355,9 +362,49 @@
         budgets.insert(service.to_owned(), budget);
     }
 
-    /// Returns the interval at which shares are worked out.
-    #[must_use]
-    pub fn rebalance_interval() -> Duration {
-        Duration::from_millis(500)
+    /// Works out which objects begin away from this zone, after `elapsed_s` seconds.
+    pub fn spill(&self, elapsed_s: f64) {
+        let now = Instant::now();
+        let servers = self.servers.borrow();
+        let peers = self.peers.borrow();
+        for service in servers.services() {
+            self.note_busy(service, servers.of(service), now);
+            let busy = self.busy_around(service, &peers, servers.of(service), now);
+            let mut spills = self.spills.borrow_mut();
+            let spill = spills.entry(service.clone()).or_default();
+            let others = peers.spills(service, &self.settings.zone, now);
+            *spill = spill.after(busy, elapsed_s).mean(&others);
+        }
+    }
+
+    fn note_busy(&self, service: &str, servers: &[Rc<Live>], now: Instant) {
+        let own = servers.iter().filter(|live| live.distance == Distance::Zone && live.ready.get());
+        let (load, slots) = own.fold((0.0, 0.0), |(load, slots), live| {
+            (load + live.load(now), slots + f64::from(live.slots.get()))
+        });
+        let seen = if slots > 0.0 { load / slots } else { NO_SLOTS_BUSY };
+        let mut busy = self.busy.borrow_mut();
+        let smooth = busy.entry(service.to_owned()).or_insert(seen);
+        *smooth = f64::midpoint(*smooth, seen);
+    }
+
+    fn busy_around(&self, service: &str, peers: &Peers, servers: &[Rc<Live>], now: Instant) -> Busy {
+        let told = peers.busy(service, now);
+        let of = |wanted: Distance| {
+            let mut load = 0.0;
+            let mut slots = 0.0;
+            for live in servers.iter().filter(|live| live.distance == wanted && live.ready.get()) {
+                let busy = told.get(live.zone.as_str()).copied().unwrap_or_default();
+                load += busy * f64::from(live.slots.get());
+                slots += f64::from(live.slots.get());
+            }
+            (slots > 0.0).then(|| load / slots)
+        };
+        let busy = self.busy.borrow();
+        Busy {
+            zone: busy.get(service).copied().unwrap_or_default(),
+            region: of(Distance::Region),
+            far: of(Distance::Far),
+        }
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -21,7 +21,7 @@
 const PAUSE: Duration = Duration::from_millis(500);
 
 /// Longest time that the store holds a question without changes.
-const WAIT: Duration = Duration::from_secs(5);
+const WAIT: Duration = Duration::from_millis(800);
 
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(250);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cold;
 pub mod place;
 pub mod quota;
+pub mod spill;
 pub mod split;
 pub mod window;
 
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -2,12 +2,15 @@
 //!
 //! Answers requests for few objects on many servers: a server that handled an object lately is
 //! several times faster with it, so each object has an order of servers that every entry VM
-//! computes alike (rendezvous hashing), nearest servers first. A server that has no room is
-//! passed over for the next of the order. So that a zone with more work than slots moves whole
-//! objects and not single requests, a part of the objects, by their hash, begins elsewhere.
+//! computes alike (rendezvous hashing), nearest servers first, and is served by the first few of
+//! the order only. Under overload a request waits at those or is rejected: sent to any other, it
+//! would take several times the work, push other objects out of that server's cache, and so
+//! deepen the overload. See [`crate::spill`] for the objects that begin away from their zone.
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::spill::Spill;
+
 /// How far a backend server is from the entry VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -32,17 +35,14 @@
     pub slots: f64,
 }
 
-/// Part of the objects that begin away from their zone, from 0 to 1.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Spill {
-    /// Part that begins in another zone of the region.
-    pub zone: f64,
-    /// Part that begins in another region.
-    pub region: f64,
-}
+/// Servers that take turns for an object while they have free slots.
+const HOMES: usize = 2;
+
+/// Servers of an object in all.
+const HOMES_MOST: usize = 3;
 
 /// Requests that may wait at a server, for each of its slots.
-const QUEUE: f64 = 0.5;
+const QUEUE: f64 = 1.0;
 
 /// Returns the hash of an object's or a server's name.
 #[must_use]
@@ -61,21 +61,17 @@
     xxh3_64_with_seed(&object.to_le_bytes(), server)
 }
 
-/// Returns the index of the candidate for `object`, or nothing if none has room.
-///
-/// A server with a free slot goes first, then one within the region whose queue is short, then
-/// one further away.
+/// Returns the index of the candidate for `object`, or nothing if its servers have no room.
 #[must_use]
 pub fn choose(candidates: &[Candidate], object: u64, spill: Spill) -> Option<usize> {
     let order = order(candidates, object, spill);
-    let is_near = |index: &&usize| candidates[**index].distance != Distance::Far;
+    let homes = &order[..order.len().min(HOMES)];
+    let rest = &order[homes.len()..order.len().min(HOMES_MOST)];
     let is_free = |index: &&usize| fits(&candidates[**index], 1.0);
     let is_short = |index: &&usize| fits(&candidates[**index], 1.0 + QUEUE);
-    let away = mix(object) < spill.region;
-    let first = order.iter().find(|index| (away || is_near(index)) && is_free(index));
-    let first = first.or_else(|| order.iter().find(|index| is_near(index) && is_short(index)));
-    let first = first.or_else(|| order.iter().find(is_free));
-    first.or_else(|| order.iter().find(is_short)).copied()
+    let chosen = homes.iter().find(is_free);
+    let chosen = chosen.or_else(|| homes.iter().find(is_short));
+    chosen.or_else(|| rest.iter().find(is_free)).copied()
 }
 
 fn fits(candidate: &Candidate, per_slot: f64) -> bool {
