Refuse what cannot end before a stopping process does

Ruled out: a frozen process; the log shows a regular end.

A stopping entry VM now refuses, as not run, what cannot end in time, and waits for the rest.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -32,6 +32,8 @@
     TooSlow,
     /// No configuration is known yet.
     Starting,
+    /// The entry VM stops before the request could end.
+    Leaving,
     /// There is no such route.
     NoRoute,
     /// Its key is missing or unknown.
@@ -63,7 +65,7 @@
             Self::OverRate(_) => 429,
             Self::HeadTooLarge => 431,
             Self::Lost => 502,
-            Self::Starting | Self::NoRoom(_) | Self::NoServer(_) | Self::Quarantined => 503,
+            Self::Starting | Self::Leaving | Self::NoRoom(_) | Self::NoServer(_) | Self::Quarantined => 503,
             Self::TimedOut => 504,
         }
     }
@@ -77,6 +79,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::TooSlow => "request-too-slow",
             Self::Starting => "starting",
+            Self::Leaving => "leaving",
             Self::NoRoute => "no-route",
             Self::NoKey => "no-key",
             Self::OverRate(_) => "over-rate",
@@ -92,6 +95,7 @@
         match self {
             Self::OverRate(after) | Self::NoRoom(after) | Self::NoServer(after) => Some(after),
             Self::Starting => Some(Duration::from_millis(300)),
+            Self::Leaving => Some(Duration::from_millis(50)),
             _ => None,
         }
     }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use event::Event;
 use eyre::WrapErr;
@@ -22,8 +22,11 @@
 /// Part of the grace after which idle connections are closed, in percent.
 const CLOSE_PERCENT: u32 = 70;
 
-/// Part of the grace after which the process ends, in percent.
-const END_PERCENT: u32 = 88;
+/// Time between the last answer and the end of the grace.
+const END_MARGIN: Duration = Duration::from_millis(250);
+
+/// Time between two looks at the requests in flight.
+const LOOK: Duration = Duration::from_millis(50);
 
 /// Runs the daemon until it is told to stop.
 ///
@@ -82,16 +85,20 @@
 /// Sends callers elsewhere, finishes what has begun, and returns when the process may end.
 async fn stop(state: &State) {
     let grace = state.settings.bounds.grace;
+    let ends = Instant::now() + grace.saturating_sub(END_MARGIN);
     event::emit(&Event::EntryLeaving {
         vm: state.settings.vm.clone(),
     });
-    state.leave();
-    let close_after = grace * CLOSE_PERCENT / 100;
-    let end_after = grace * END_PERCENT / 100;
-    sleep(close_after).await;
+    state.leave(ends);
+    sleep(grace * CLOSE_PERCENT / 100).await;
     state.close();
-    sleep(end_after.saturating_sub(close_after).max(Duration::from_millis(1))).await;
+    // Callers that saw their connection end need a moment to read the last answer.
+    sleep(LOOK).await;
+    while state.in_flight() > 0 && Instant::now() < ends {
+        sleep(LOOK).await;
+    }
     event::emit(&Event::EntryStopped {
         vm: state.settings.vm.clone(),
+        cut: state.in_flight(),
     });
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -58,6 +58,7 @@
 
 /// Answers a request.
 pub async fn answer(state: &State, incoming: Incoming) -> Reply {
+    let _in_flight = state.begin();
     let mut trail = Trail::new(state, &incoming);
     let outcome = run(state, &incoming, &mut trail).await;
     trail.end(outcome.as_ref().map(|answered| answered.head.status));
@@ -83,6 +84,10 @@
     if let Some(workspace) = workspace {
         admit(state, workspace)?;
     }
+    let deadline = incoming.since + patience(state, route, &incoming.head);
+    if !state.can_finish(deadline) {
+        return Err(Refusal::Leaving);
+    }
     let object = object(state, incoming);
     let service = service(state, route, object);
     trail.service = service.to_owned();
@@ -95,7 +100,7 @@
         service,
         incoming,
         object,
-        deadline: incoming.since + patience(state, route, &incoming.head),
+        deadline,
         tried: Vec::new(),
         sent: 0,
         unreached: 0,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -57,6 +57,19 @@
     revision: Cell<u64>,
     has_read: Cell<bool>,
     phase: watch::Sender<Phase>,
+    /// When the process ends, once it has been told to.
+    ends: Cell<Option<Instant>>,
+    in_flight: Cell<u64>,
+}
+
+/// A request counted as in flight until dropped.
+#[derive(Debug)]
+pub struct InFlight<'a>(&'a State);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
 }
 
 /// How far the daemon is from its end.
@@ -90,6 +103,8 @@
             revision: Cell::new(0),
             has_read: Cell::new(false),
             phase,
+            ends: Cell::new(None),
+            in_flight: Cell::new(0),
         }
     }
 
@@ -137,8 +152,28 @@
         *self.phase.borrow() >= Phase::Leaving
     }
 
-    /// Begins to stop: callers are told to go elsewhere.
-    pub fn leave(&self) {
+    /// Counts a request as in flight.
+    #[must_use]
+    pub fn begin(&self) -> InFlight<'_> {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(self)
+    }
+
+    /// Returns the number of requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.get()
+    }
+
+    /// Returns whether a request that takes until `deadline` can end before the process does.
+    #[must_use]
+    pub fn can_finish(&self, deadline: Instant) -> bool {
+        self.ends.get().is_none_or(|ends| deadline <= ends)
+    }
+
+    /// Begins to stop: callers are told to go elsewhere, and the process ends at `ends`.
+    pub fn leave(&self, ends: Instant) {
+        self.ends.set(Some(ends));
         self.phase.send_replace(Phase::Leaving);
     }
 
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -65,7 +65,7 @@
     2016 info OperationsHandedOver { operations: u64, kept: bool } "A stopping gate gave operations to another VM; `kept` says whether one has them.";
     3001 info EntryStarted { vm: String, zone: String } "An entry VM's daemon accepts callers.";
     3002 info EntryLeaving { vm: String } "The daemon was told to stop and sends callers elsewhere.";
-    3003 info EntryStopped { vm: String } "The daemon has stopped.";
+    3003 info EntryStopped { vm: String, cut: u64 } "The daemon has stopped; `cut` counts requests that were cut off.";
     3004 info SettingsKept { vm: String } "The daemon was told that its settings changed; nothing that it uses did.";
     3005 info ServerJoined { server: String, service: String, zone: String, backend: SocketAddr } "A backend server's incarnation was registered.";
     3006 info ServerLeaving { server: String } "A backend server takes no new work.";
