Follow a fleet-wide token bucket and tell by zone

Cause: with many entry VMs a fixed share of a small workspace's rate is below one token, and messages from everyone to everyone grow with the square of the fleet. Every entry VM now follows the fleet's bucket and shares a rate out only while the demand told exceeds it. One entry VM a zone exchanges what the zone says with the other zones.

--- a/crates/entry/src/counts.rs
+++ b/crates/entry/src/counts.rs
@@ -11,6 +11,7 @@
     requests: RefCell<BTreeMap<(String, String), u64>>,
     socket_errors: Cell<u64>,
     turned_away: Cell<u64>,
+    bad_messages: Cell<u64>,
 }
 
 impl Counts {
@@ -30,4 +31,9 @@
     pub fn note_turned_away(&self) {
         self.turned_away.set(self.turned_away.get() + 1);
     }
+
+    /// Counts a message between entry VMs that could not be read or written.
+    pub fn note_bad_message(&self) {
+        self.bad_messages.set(self.bad_messages.get() + 1);
+    }
 }
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -1,7 +1,6 @@
 //! Look-ups of entry VMs, and readiness.
 
 use std::net::SocketAddr;
-use std::time::Instant;
 
 use bytes::Bytes;
 
@@ -47,7 +46,7 @@
 
 /// Returns the addresses of the ready entry VMs in `zone`, else in `region`, else of all.
 fn addresses(state: &State, zone: &str, region: &str) -> Vec<SocketAddr> {
-    let mut ready = state.peers.borrow().ready(Instant::now());
+    let mut ready = state.ready_peers();
     if let Some(own) = state.settings.listen.callers.filter(|_| state.is_ready()) {
         ready.push((state.settings.zone.clone(), own));
     }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -144,14 +144,14 @@
     if workspace.rate_per_s <= 0.0 {
         return Ok(());
     }
-    let mut buckets = state.buckets.borrow_mut();
-    let Some(bucket) = buckets.get_mut(&workspace.name) else {
+    let mut accounts = state.accounts.borrow_mut();
+    let Some(account) = accounts.get_mut(&workspace.name) else {
         return Ok(());
     };
-    if bucket.take(Instant::now()) {
+    if account.admit(Instant::now()) {
         return Ok(());
     }
-    let wait = Duration::from_secs_f64(bucket.wait_s().clamp(0.05, 5.0));
+    let wait = Duration::from_secs_f64(account.wait_s().clamp(0.05, 5.0));
     Err(Refusal::OverRate(wait + spread()))
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,25 +1,27 @@
 //! State that all tasks of the daemon share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
 use event::Event;
 use fleet::config::Limits;
 use fleet::roster::Change;
-use fleet::{Config, Entry, Item, Roster, Version};
+use fleet::board::{Announcement, Asked, Report};
+use fleet::{Board, Config, Entry, Item, Roster, Version, Workspace};
 use steer::budget::Budget;
 use steer::cold::Vm;
-use steer::place::{Distance, hash};
+use steer::place::Distance;
 use steer::spill::{Busy, Spill};
-use steer::quota::Bucket;
+use steer::quota::{Account, Others, Rate};
 use steer::split::Split;
 use tokio::sync::watch;
 
 use crate::counts::Counts;
 use crate::names::Names;
-use crate::peers::Peers;
+use crate::peers;
 use crate::servers::{Live, Servers};
 use crate::settings::Settings;
 use crate::store::Raw;
@@ -37,9 +39,9 @@
     /// Backend servers.
     pub servers: RefCell<Servers>,
     /// Other entry VMs.
-    pub peers: RefCell<Peers>,
-    /// Tokens by workspace.
-    pub buckets: RefCell<HashMap<String, Bucket>>,
+    pub board: RefCell<Board>,
+    /// Workspaces that have a rate.
+    pub accounts: RefCell<HashMap<String, Account>>,
     /// Repeats by service.
     pub budgets: RefCell<HashMap<String, Budget>>,
     /// Shares by route.
@@ -50,6 +52,8 @@
     pub busy: RefCell<HashMap<String, f64>>,
     /// Counters.
     pub counts: Counts,
+    /// What is known of the fleet, this VM included.
+    picture: RefCell<Report>,
     config: RefCell<Option<Rc<Config>>>,
     roster: RefCell<Roster>,
     /// Keys as the store holds them, for entry VMs that cannot read it.
@@ -85,13 +89,14 @@
     #[must_use]
     pub fn new(settings: Settings, names: Names) -> Self {
         let (phase, _) = watch::channel(Phase::Serving);
-        let peers = Peers::new(&settings);
+        let board = peers::board(&settings);
         Self {
             settings,
             names,
             servers: RefCell::default(),
-            peers: RefCell::new(peers),
-            buckets: RefCell::default(),
+            board: RefCell::new(board),
+            accounts: RefCell::default(),
+            picture: RefCell::default(),
             budgets: RefCell::default(),
             splits: RefCell::default(),
             spills: RefCell::default(),
@@ -217,8 +222,8 @@
             Item::ServerGone { id } => self.forget(&id),
             Item::Evacuated { zone } => self.evacuate(&zone, true),
             Item::Restored { zone } => self.evacuate(&zone, false),
-            Item::Member { vm, bytes } => self.peers.borrow_mut().announce(&vm, &bytes),
-            Item::MemberGone { vm } => self.peers.borrow_mut().withdraw(&vm),
+            Item::Member { vm, bytes } => self.announce(&vm, &bytes),
+            Item::MemberGone { vm } => self.board.borrow_mut().withdraw(&vm),
             Item::Unreadable { key, problem } => {
                 event::emit(&Event::KeyUnreadable { key, problem });
                 return;
@@ -234,7 +239,7 @@
 
     /// Returns the keys that are kept and not among `listed`.
     #[must_use]
-    pub fn unlisted(&self, listed: &std::collections::HashSet<String>) -> Vec<String> {
+    pub fn unlisted(&self, listed: &HashSet<String>) -> Vec<String> {
         let kept = self.raw.borrow();
         kept.keys().filter(|key| !listed.contains(*key)).cloned().collect()
     }
@@ -260,7 +265,7 @@
             revision: config.version.0,
         });
         self.config.replace(Some(Rc::new(config)));
-        self.rebalance(0.0);
+        self.rebalance(0.0, Instant::now());
     }
 
     fn register(&self, id: &str, entry: Entry) {
@@ -341,41 +346,121 @@
         self.roster.borrow().is_evacuated(zone)
     }
 
+    fn announce(&self, vm: &str, bytes: &[u8]) {
+        match postcard::from_bytes::<Announcement>(bytes) {
+            Ok(announcement) => {
+                let mut board = self.board.borrow_mut();
+                board.announce(vm, announcement, Instant::now());
+            }
+            Err(error) => event::emit(&Event::KeyUnreadable {
+                key: vm.to_owned(),
+                problem: error.to_string(),
+            }),
+        }
+    }
+
     /// Returns whether this entry VM may send work to the cold server `live`.
     #[must_use]
     pub fn owns(&self, live: &Live) -> bool {
-        let peers = self.peers.borrow();
-        let own = Vm {
-            name: hash(self.settings.vm.as_bytes()),
+        let own = peers::rank(&self.settings.vm);
+        let board = self.board.borrow();
+        let ready = board.ready(&self.picture.borrow());
+        let vm = |(name, announcement): &(&str, &Announcement)| {
+            let region = self.region_of(&announcement.zone);
+            (peers::rank(name), announcement.zone.clone(), region)
+        };
+        let others: Vec<(u64, String, &str)> = ready.iter().map(vm).collect();
+        let mut vms: Vec<Vm<'_>> = others
+            .iter()
+            .map(|(name, zone, region)| Vm {
+                name: *name,
+                zone,
+                region,
+            })
+            .collect();
+        vms.push(Vm {
+            name: own,
             zone: &self.settings.zone,
             region: &self.settings.region,
-        };
-        let mut vms = peers.serving(Instant::now());
-        vms.push(own);
-        steer::cold::owner(live.hash, &live.zone, &live.region, &vms) == Some(own.name)
+        });
+        steer::cold::owner(live.hash, &live.zone, &live.region, &vms) == Some(own)
+    }
+
+    /// Returns the zones and addresses of the other entry VMs that callers may be sent to.
+    #[must_use]
+    pub fn ready_peers(&self) -> Vec<(String, SocketAddr)> {
+        let board = self.board.borrow();
+        let ready = board.ready(&self.picture.borrow());
+        let ready = ready.into_iter().filter_map(|(_, announcement)| {
+            Some((announcement.zone.clone(), announcement.callers?))
+        });
+        ready.collect()
     }
 
-    /// Works out the shares of the workspaces' rates after `elapsed_s` seconds.
-    pub fn rebalance(&self, elapsed_s: f64) {
+    /// Returns the state services of entry VMs that know more of the store.
+    #[must_use]
+    pub fn ahead(&self) -> Vec<SocketAddr> {
+        let board = self.board.borrow();
+        board.ahead(&self.picture.borrow(), self.revision())
+    }
+
+    /// Draws conclusions from what the other entry VMs told, `elapsed_s` seconds after the last
+    /// time.
+    pub fn tick(&self, elapsed_s: f64, now: Instant) {
+        self.expire(now);
+        let mut board = self.board.borrow_mut();
+        board.expire(now);
+        self.picture.replace(board.fleet(now));
+        drop(board);
+        self.rebalance(elapsed_s, now);
+        self.spill(elapsed_s, now);
+    }
+
+    /// Works out the shares of the workspaces' rates.
+    fn rebalance(&self, elapsed_s: f64, now: Instant) {
         let Some(config) = self.config() else {
             return;
         };
-        let now = Instant::now();
-        let peers = self.peers.borrow();
-        let mut buckets = self.buckets.borrow_mut();
+        let mut accounts = self.accounts.borrow_mut();
+        let mut seen = HashSet::new();
         for workspace in config.keys.values().filter(|workspace| workspace.rate_per_s > 0.0) {
-            let (rate, burst) = (workspace.rate_per_s, workspace.burst);
-            let others = peers.others(&workspace.name, now);
-            let bucket = buckets
-                .entry(workspace.name.clone())
-                .or_insert_with(|| Bucket::new(rate, burst, others.vms, now));
-            bucket.rebalance(rate, burst, others, elapsed_s, now);
+            if !seen.insert(workspace.name.as_str()) {
+                continue;
+            }
+            let rate = Rate {
+                per_s: workspace.rate_per_s,
+                burst: workspace.burst,
+            };
+            let others = self.others(workspace);
+            let account = accounts.entry(workspace.name.clone());
+            let account = account.or_insert_with(|| Account::new(rate, now));
+            account.rebalance(rate, others, elapsed_s, now);
+        }
+        accounts.retain(|name, _| seen.contains(name.as_str()));
+    }
+
+    /// Returns what the other entry VMs tell of `workspace`.
+    fn others(&self, workspace: &Workspace) -> Others {
+        let number = peers::number(&workspace.name);
+        let board = self.board.borrow();
+        let picture = self.picture.borrow();
+        let all = picture.asked(number);
+        let own = board.told().asked(number);
+        let without_own = |of: fn(&Asked) -> f32| {
+            let all = all.map_or(0.0, |asked| f64::from(of(asked)));
+            (all - own.map_or(0.0, |asked| f64::from(of(asked)))).max(0.0)
+        };
+        Others {
+            demand: without_own(|asked| asked.demand),
+            admitted: without_own(|asked| asked.admitted),
+            vms: board.count().max(picture.vms.len()),
+            heard: picture.vms.len().max(1),
         }
     }
 
     /// Counts a repeat for `service` if there is room for it.
     pub fn take_repeat(&self, service: &str) -> bool {
-        let vms = self.peers.borrow().count();
+        let vms = self.board.borrow().count();
         let mut budgets = self.budgets.borrow_mut();
         let bound = self.settings.bounds.repeats;
         let budget = budgets
@@ -397,18 +482,21 @@
         budgets.insert(service.to_owned(), budget);
     }
 
-    /// Works out which objects begin away from this zone, after `elapsed_s` seconds.
-    pub fn spill(&self, elapsed_s: f64) {
-        let now = Instant::now();
+    /// Works out which objects begin away from this zone.
+    fn spill(&self, elapsed_s: f64, now: Instant) {
         let servers = self.servers.borrow();
-        let peers = self.peers.borrow();
+        let picture = self.picture.borrow();
         for service in servers.services() {
             self.note_busy(service, servers.of(service), now);
-            let busy = self.busy_around(service, &peers, servers.of(service), now);
+            let busy = self.busy_around(service, &picture, servers.of(service));
             let mut spills = self.spills.borrow_mut();
             let spill = spills.entry(service.clone()).or_default();
-            let others = peers.spills(service, &self.settings.zone, now);
-            *spill = spill.after(busy, elapsed_s).mean(&others);
+            let zone = picture.load(peers::number(service), peers::number(&self.settings.zone));
+            let told = zone.map(|load| Spill {
+                zone: f64::from(load.spill_zone),
+                region: f64::from(load.spill_region),
+            });
+            *spill = spill.after(busy, elapsed_s).mean(told.as_slice());
         }
     }
 
@@ -423,13 +511,14 @@
         *smooth = f64::midpoint(*smooth, seen);
     }
 
-    fn busy_around(&self, service: &str, peers: &Peers, servers: &[Rc<Live>], now: Instant) -> Busy {
-        let told = peers.busy(service, now);
+    fn busy_around(&self, service: &str, picture: &Report, servers: &[Rc<Live>]) -> Busy {
+        let number = peers::number(service);
         let of = |wanted: Distance| {
             let mut load = 0.0;
             let mut slots = 0.0;
             for live in servers.iter().filter(|live| live.distance == wanted && live.ready.get()) {
-                let busy = told.get(live.zone.as_str()).copied().unwrap_or_default();
+                let told = picture.load(number, peers::number(&live.zone));
+                let busy = told.map_or(0.0, |load| f64::from(load.busy));
                 load += busy * f64::from(live.slots.get());
                 slots += f64::from(live.slots.get());
             }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -105,8 +105,7 @@
     }
 
     async fn ask_neighbours<S: Store>(&self, store: &S) {
-        let now = Instant::now();
-        let mut ahead = self.state.peers.borrow().ahead(self.state.revision(), now);
+        let mut ahead = self.state.ahead();
         if self.state.revision() == 0 {
             ahead.extend(self.state.settings.seeds.iter().copied());
         }
--- /dev/null
+++ b/crates/fleet/src/board.rs
@@ -0,0 +1,431 @@
+//! What entry VMs tell each other.
+//!
+//! In each zone the live entry VM with the highest rank leads. The others tell it about
+//! themselves ([`Kind::Hello`]), the leads tell each other about their zones ([`Kind::Digest`]),
+//! and each lead tells its zone about the fleet ([`Kind::Picture`]). Traffic between zones thus
+//! grows with the number of zones and not of VMs. A VM whose lead falls silent needs no election:
+//! it tells the next ranks too, and the first of those that hears of no higher one leads.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// Silence after which an entry VM no longer leads.
+const LEAD_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Silence after which an entry VM no longer counts as alive.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Silence after which a withdrawn entry VM is forgotten.
+const FORGET: Duration = Duration::from_secs(10);
+
+/// Ranks of a zone that are told about each VM.
+const TOLD_RANKS: usize = 3;
+
+/// How an entry VM is reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Zone.
+    pub zone: String,
+    /// Address for messages between entry VMs.
+    pub peer: SocketAddr,
+    /// Address of the state service.
+    pub state: Option<SocketAddr>,
+    /// Address for callers.
+    pub callers: Option<SocketAddr>,
+}
+
+/// What is told about a set of entry VMs.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The VMs.
+    pub vms: Vec<Seen>,
+    /// Requests of workspaces, summed over the VMs.
+    pub asked: Vec<Asked>,
+    /// Load of services, for each zone.
+    pub loads: Vec<Load>,
+}
+
+/// An entry VM that is alive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Hash of its name.
+    pub vm: u64,
+    /// Whether callers may be sent to it.
+    pub is_ready: bool,
+    /// Revision of the store that it knows.
+    pub revision: u64,
+}
+
+/// Requests of one workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Asked {
+    /// Hash of the workspace's name.
+    pub workspace: u32,
+    /// Requests a second that came.
+    pub demand: f32,
+    /// Requests a second that were admitted.
+    pub admitted: f32,
+}
+
+/// Load of one service in one zone.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Hash of the zone's name.
+    pub zone: u32,
+    /// Requests for each slot of the zone's backend servers.
+    pub busy: f32,
+    /// Part of the zone's objects that begin in another zone of the region.
+    pub spill_zone: f32,
+    /// Part of the zone's objects that begin in another region.
+    pub spill_region: f32,
+}
+
+/// What a message is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Its sender.
+    Hello,
+    /// Its sender's zone.
+    Digest,
+    /// The fleet.
+    Picture,
+}
+
+/// A message between entry VMs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Name of the sender.
+    pub vm: String,
+    /// How the sender is reached.
+    pub announcement: Announcement,
+    /// What it is about.
+    pub kind: Kind,
+    /// What is told.
+    pub report: Report,
+}
+
+#[derive(Debug)]
+struct Known {
+    announcement: Announcement,
+    is_announced: bool,
+    rank: u64,
+    /// When it was last heard itself, or became known.
+    last: Instant,
+    has_spoken: bool,
+}
+
+#[derive(Debug)]
+struct Told {
+    report: Report,
+    vm: String,
+    at: Instant,
+}
+
+/// All that an entry VM knows of the others.
+#[derive(Debug)]
+pub struct Board {
+    name: String,
+    own: Announcement,
+    hash: fn(&str) -> u64,
+    known: HashMap<String, Known>,
+    /// By VM of this zone.
+    hellos: HashMap<String, Told>,
+    /// By zone.
+    digests: HashMap<String, Told>,
+    picture: Option<Told>,
+    /// What was last told about this VM.
+    told: Report,
+    /// Number of times that messages were sent.
+    turn: usize,
+}
+
+impl Board {
+    /// Creates the board of the VM `name`, which ranks names by `hash`.
+    #[must_use]
+    pub fn new(name: &str, own: Announcement, hash: fn(&str) -> u64) -> Self {
+        Self {
+            name: name.to_owned(),
+            own,
+            hash,
+            known: HashMap::new(),
+            hellos: HashMap::new(),
+            digests: HashMap::new(),
+            picture: None,
+            told: Report::default(),
+            turn: 0,
+        }
+    }
+
+    /// Returns how this VM is reached.
+    #[must_use]
+    pub fn own(&self) -> &Announcement {
+        &self.own
+    }
+
+    /// Returns the number of entry VMs, this one included.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.known.len() + 1
+    }
+
+    /// Takes an announcement from the store.
+    pub fn announce(&mut self, vm: &str, announcement: Announcement, now: Instant) {
+        if let Some(known) = self.know(vm, announcement, now) {
+            known.is_announced = true;
+        }
+    }
+
+    /// Takes the end of an announcement.
+    pub fn withdraw(&mut self, vm: &str) {
+        if let Some(known) = self.known.get_mut(vm) {
+            known.is_announced = false;
+        }
+    }
+
+    fn know(&mut self, vm: &str, announcement: Announcement, now: Instant) -> Option<&mut Known> {
+        if vm == self.name {
+            return None;
+        }
+        let rank = (self.hash)(vm);
+        let known = self.known.entry(vm.to_owned()).or_insert_with(|| Known {
+            announcement: announcement.clone(),
+            is_announced: false,
+            rank,
+            last: now,
+            has_spoken: false,
+        });
+        known.announcement = announcement;
+        Some(known)
+    }
+
+    /// Takes a message.
+    pub fn take(&mut self, message: Message, now: Instant) {
+        let zone = message.announcement.zone.clone();
+        let Some(known) = self.know(&message.vm, message.announcement, now) else {
+            return;
+        };
+        known.last = now;
+        known.has_spoken = true;
+        let told = Told {
+            report: message.report,
+            vm: message.vm.clone(),
+            at: now,
+        };
+        let is_own_zone = zone == self.own.zone;
+        match message.kind {
+            Kind::Hello if is_own_zone => {
+                self.hellos.insert(message.vm, told);
+            }
+            Kind::Digest if !is_own_zone => {
+                self.digests.insert(zone, told);
+            }
+            Kind::Picture if is_own_zone => self.picture = Some(told),
+            Kind::Hello | Kind::Digest | Kind::Picture => {}
+        }
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&mut self, now: Instant) {
+        self.known.retain(|_, known| known.is_announced || now.duration_since(known.last) < FORGET);
+        self.hellos.retain(|_, told| now.duration_since(told.at) < SILENCE);
+        self.digests.retain(|_, told| now.duration_since(told.at) < SILENCE);
+        self.picture.take_if(|told| now.duration_since(told.at) >= LEAD_SILENCE);
+    }
+
+    /// Returns whether this VM leads its zone.
+    #[must_use]
+    pub fn leads(&self, now: Instant) -> bool {
+        let own = (self.hash)(&self.name);
+        let is_higher = |known: &&Known| {
+            let is_heard = known.has_spoken && now.duration_since(known.last) < LEAD_SILENCE;
+            is_heard && known.announcement.zone == self.own.zone && known.rank > own
+        };
+        !self.known.values().any(|known| is_higher(&known))
+    }
+
+    /// Returns the messages to send, if `own` is to be told about this VM.
+    #[must_use]
+    pub fn messages(&mut self, own: Report, now: Instant) -> Vec<(SocketAddr, Message)> {
+        self.told = own;
+        self.turn = self.turn.wrapping_add(1);
+        let mut messages = self.hello();
+        if !self.leads(now) {
+            return messages;
+        }
+        let digest = self.zone_report();
+        let targets = self.digest_targets();
+        messages.extend(self.to_all(&targets, Kind::Digest, &digest));
+        let picture = self.fleet_report(digest);
+        let zone = self.hellos.keys().filter_map(|vm| self.known.get(vm));
+        let zone: Vec<SocketAddr> = zone.map(|known| known.announcement.peer).collect();
+        messages.extend(self.to_all(&zone, Kind::Picture, &picture));
+        messages
+    }
+
+    fn to_all(
+        &self,
+        targets: &[SocketAddr],
+        kind: Kind,
+        report: &Report,
+    ) -> Vec<(SocketAddr, Message)> {
+        let message = Message {
+            vm: self.name.clone(),
+            announcement: self.own.clone(),
+            kind,
+            report: report.clone(),
+        };
+        let targets = targets.iter();
+        targets.map(|target| (*target, message.clone())).collect()
+    }
+
+    /// Tells the highest ranks of the zone, and one more that changes, about this VM.
+    fn hello(&self) -> Vec<(SocketAddr, Message)> {
+        let ranked = self.ranked(&self.own.zone);
+        let mut targets: Vec<SocketAddr> = ranked.iter().take(TOLD_RANKS).copied().collect();
+        if ranked.len() > TOLD_RANKS && self.picture.is_none() {
+            let rest = &ranked[TOLD_RANKS..];
+            targets.push(rest[self.turn % rest.len()]);
+        }
+        self.to_all(&targets, Kind::Hello, &self.told)
+    }
+
+    /// Returns the addresses of a zone's other VMs, highest rank first.
+    fn ranked(&self, zone: &str) -> Vec<SocketAddr> {
+        let own = self.known.values().filter(|known| known.announcement.zone == zone);
+        let mut ranked: Vec<(u64, SocketAddr)> =
+            own.map(|known| (known.rank, known.announcement.peer)).collect();
+        ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+        ranked.into_iter().map(|(_, addr)| addr).collect()
+    }
+
+    /// Returns the lead of each other zone, or its highest ranks if the lead is not known.
+    fn digest_targets(&self) -> Vec<SocketAddr> {
+        let zones: HashSet<&str> = self
+            .known
+            .values()
+            .map(|known| known.announcement.zone.as_str())
+            .filter(|zone| *zone != self.own.zone)
+            .collect();
+        let mut targets = Vec::new();
+        for zone in zones {
+            let lead = self.digests.get(zone).and_then(|told| self.known.get(&told.vm));
+            match lead {
+                Some(known) => targets.push(known.announcement.peer),
+                None => targets.extend(self.ranked(zone).into_iter().take(TOLD_RANKS)),
+            }
+        }
+        targets
+    }
+
+    /// Returns what is known of this zone.
+    fn zone_report(&self) -> Report {
+        let mut report = self.told.clone();
+        for told in self.hellos.values() {
+            report.merge(&told.report);
+        }
+        report
+    }
+
+    /// Returns what is known of the fleet if `zone` is known of this zone.
+    fn fleet_report(&self, mut zone: Report) -> Report {
+        for told in self.digests.values() {
+            zone.merge(&told.report);
+        }
+        zone
+    }
+
+    /// Returns what is known of the fleet, this VM included.
+    #[must_use]
+    pub fn fleet(&self, now: Instant) -> Report {
+        match &self.picture {
+            Some(picture) if !self.leads(now) => picture.report.clone(),
+            _ => self.fleet_report(self.zone_report()),
+        }
+    }
+
+    /// Returns what was last told about this VM.
+    #[must_use]
+    pub fn told(&self) -> &Report {
+        &self.told
+    }
+
+    /// Returns the announcements of the other VMs of `report` that callers may be sent to.
+    #[must_use]
+    pub fn ready<'a>(&'a self, report: &Report) -> Vec<(&'a str, &'a Announcement)> {
+        let ready = report.vms.iter().filter(|seen| seen.is_ready);
+        let ready: HashSet<u64> = ready.map(|seen| seen.vm).collect();
+        let known = self.known.iter().filter(|(_, known)| ready.contains(&known.rank));
+        known.map(|(vm, known)| (vm.as_str(), &known.announcement)).collect()
+    }
+
+    /// Returns the state services of VMs that know more of the store than `revision`, those that
+    /// know most first.
+    #[must_use]
+    pub fn ahead(&self, report: &Report, revision: u64) -> Vec<SocketAddr> {
+        let ahead = report.vms.iter().filter(|seen| seen.revision > revision);
+        let revisions: HashMap<u64, u64> = ahead.map(|seen| (seen.vm, seen.revision)).collect();
+        let state = |known: &Known| {
+            let revision = revisions.get(&known.rank)?;
+            Some((*revision, known.announcement.state?))
+        };
+        let mut ahead: Vec<(u64, SocketAddr)> = self.known.values().filter_map(state).collect();
+        ahead.sort_by_key(|(revision, _)| std::cmp::Reverse(*revision));
+        ahead.into_iter().map(|(_, state)| state).collect()
+    }
+}
+
+impl Report {
+    /// Adds what `other` tells about other VMs.
+    pub fn merge(&mut self, other: &Self) {
+        for seen in &other.vms {
+            if !self.vms.iter().any(|known| known.vm == seen.vm) {
+                self.vms.push(*seen);
+            }
+        }
+        let mut places: HashMap<u32, usize> = HashMap::new();
+        for (place, asked) in self.asked.iter().enumerate() {
+            places.insert(asked.workspace, place);
+        }
+        for asked in &other.asked {
+            if let Some(place) = places.get(&asked.workspace) {
+                self.asked[*place].demand += asked.demand;
+                self.asked[*place].admitted += asked.admitted;
+            } else {
+                self.asked.push(*asked);
+            }
+        }
+        for load in &other.loads {
+            self.merge_load(load);
+        }
+    }
+
+    /// Takes the mean of what VMs of one zone tell about it.
+    fn merge_load(&mut self, load: &Load) {
+        let same = |known: &&mut Load| known.service == load.service && known.zone == load.zone;
+        let Some(known) = self.loads.iter_mut().find(same) else {
+            self.loads.push(*load);
+            return;
+        };
+        known.busy = known.busy.max(load.busy);
+        known.spill_zone = f32::midpoint(known.spill_zone, load.spill_zone);
+        known.spill_region = f32::midpoint(known.spill_region, load.spill_region);
+    }
+
+    /// Returns what is told of a workspace.
+    #[must_use]
+    pub fn asked(&self, workspace: u32) -> Option<&Asked> {
+        self.asked.iter().find(|asked| asked.workspace == workspace)
+    }
+
+    /// Returns what is told of a service in a zone.
+    #[must_use]
+    pub fn load(&self, service: u32, zone: u32) -> Option<&Load> {
+        let mut loads = self.loads.iter();
+        loads.find(|load| load.service == service && load.zone == zone)
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,11 +3,13 @@
 //! Everything here is plain state that changes only by the values it is given, so it can be
 //! tested without a network.
 
+pub mod board;
 pub mod config;
 pub mod item;
 pub mod roster;
 pub mod server;
 
+pub use board::Board;
 pub use config::{Config, Kind, Route, Service, Target, Version, Workspace};
 pub use item::Item;
 pub use roster::Roster;
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -1,109 +1,168 @@
 //! Holding workspaces to their rate over all entry VMs.
 //!
-//! Answers a workspace that sends many times its rate, at any entry VM, while some entry VMs
-//! hear nothing of the others. Every entry VM has a standing share that it may always use. The
-//! rest follows demand: a VM takes of it what its part of the demand that it last heard of is.
-//! The standing share of a VM that is not heard of stays reserved.
+//! Answers two patterns. Many entry VMs and small workspaces: a fixed share of a rate would be
+//! less than one request, so every entry VM follows the fleet's token bucket, from which it takes
+//! its own requests at once and the others' at the rate that they tell. A workspace that sends
+//! many times its rate: once the demand told exceeds the rate, each entry VM keeps to its part of
+//! the rate by its part of the demand, and what was admitted before that was known is a debt of
+//! the bucket. An entry VM that hears of no other uses a small standing share, which the others
+//! leave to it.
 
 use std::time::Instant;
 
-/// Part of a workspace's rate that is shared evenly and never lent.
-const STANDING: f64 = 0.3;
+/// Part of a VM's even share that it uses while it hears of no other.
+const STANDING: f64 = 0.6;
 
-/// Tokens of one workspace at one entry VM.
-#[derive(Debug)]
-pub struct Bucket {
-    tokens: f64,
-    rate_per_s: f64,
-    burst: f64,
-    refilled: Instant,
-    /// Demand at this entry VM, in requests a second.
-    demand: f64,
-    /// Requests since the demand was last worked out.
-    asked: u32,
-}
+/// Part of the rate above which the demand is shared out.
+const CONTENDED: f64 = 0.85;
+
+/// Part of the burst that a new process starts with, since others may have used the rest.
+const FIRST_TOKENS: f64 = 0.3;
+
+/// Weight of the latest interval in the running rates.
+const LATEST: f64 = 0.4;
+
+/// Least capacity of a VM's own bucket, in requests.
+const LEAST_BURST: f64 = 2.0;
 
-/// What an entry VM knows of the others' demand for one workspace.
+/// Largest debt, in seconds of the rate.
+const DEBT_S: f64 = 4.0;
+
+/// A workspace's rate.
 #[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rate {
+    /// Requests a second.
+    pub per_s: f64,
+    /// Requests beyond that which may come at once.
+    pub burst: f64,
+}
+
+/// What the other entry VMs tell of one workspace, in requests a second, and how many they are.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Others {
-    /// Demand that the others told lately, in requests a second.
+    /// Requests that came there.
     pub demand: f64,
+    /// Requests that were admitted there.
+    pub admitted: f64,
     /// Entry VMs in all, this one included.
     pub vms: usize,
-    /// Entry VMs that were heard of lately, this one included.
+    /// Entry VMs that are heard of, this one included.
     pub heard: usize,
 }
 
-impl Bucket {
-    /// Creates a bucket that holds its part of the burst among `vms` entry VMs.
+/// One workspace at one entry VM.
+#[derive(Debug)]
+pub struct Account {
+    rate: Rate,
+    others: Others,
+    /// Tokens in the fleet's bucket; negative after more was admitted than the rate.
+    fleet: f64,
+    /// Tokens in this VM's own bucket, which counts while the demand is shared out.
+    own: f64,
+    /// Refill of the own bucket; absent while the demand is not shared out.
+    own_per_s: Option<f64>,
+    refilled: Instant,
+    asked: u32,
+    admitted: u32,
+    demand_per_s: f64,
+    admitted_per_s: f64,
+}
+
+impl Account {
+    /// Creates an account.
     #[must_use]
-    pub fn new(rate_per_s: f64, burst: f64, vms: usize, now: Instant) -> Self {
-        let part = 1.0 / vms.max(1) as f64;
+    pub fn new(rate: Rate, now: Instant) -> Self {
         Self {
-            tokens: burst * part,
-            rate_per_s: rate_per_s * part,
-            burst: burst * part,
+            rate,
+            others: Others::default(),
+            fleet: rate.burst * FIRST_TOKENS,
+            own: LEAST_BURST,
+            own_per_s: None,
             refilled: now,
-            demand: 0.0,
             asked: 0,
+            admitted: 0,
+            demand_per_s: 0.0,
+            admitted_per_s: 0.0,
         }
     }
 
-    /// Returns the demand, in requests a second.
+    /// Returns the requests a second that came here.
+    #[must_use]
+    pub fn demand_per_s(&self) -> f64 {
+        self.demand_per_s
+    }
+
+    /// Returns the requests a second that were admitted here.
     #[must_use]
-    pub fn demand(&self) -> f64 {
-        self.demand
+    pub fn admitted_per_s(&self) -> f64 {
+        self.admitted_per_s
     }
 
-    /// Takes a token; returns false if there is none.
-    pub fn take(&mut self, now: Instant) -> bool {
+    /// Admits a request, or returns false.
+    pub fn admit(&mut self, now: Instant) -> bool {
         self.asked += 1;
         self.refill(now);
-        if self.tokens < 1.0 {
+        let is_own_spent = self.own_per_s.is_some() && self.own < 1.0;
+        if self.fleet < 1.0 || is_own_spent {
             return false;
         }
-        self.tokens -= 1.0;
+        self.fleet -= 1.0;
+        self.own -= 1.0;
+        self.admitted += 1;
         true
     }
 
-    /// Returns the seconds until there is a token.
+    /// Returns the seconds until a request may be admitted.
     #[must_use]
     pub fn wait_s(&self) -> f64 {
-        (1.0 - self.tokens).max(0.0) / self.rate_per_s.max(0.01)
+        let per_s = self.own_per_s.unwrap_or(self.rate.per_s).max(0.01);
+        let own = (1.0 - self.own).max(0.0) / per_s;
+        let fleet = (1.0 - self.fleet).max(0.0) / self.rate.per_s.max(0.01);
+        own.max(fleet)
     }
 
-    /// Works out the demand over the last `elapsed_s` seconds and the share that follows from it.
-    pub fn rebalance(&mut self, rate_per_s: f64, burst: f64, others: Others, elapsed_s: f64, now: Instant) {
+    /// Takes what the others tell, `elapsed_s` seconds after the last time.
+    pub fn rebalance(&mut self, rate: Rate, others: Others, elapsed_s: f64, now: Instant) {
         self.refill(now);
-        let seen = f64::from(self.asked) / elapsed_s.max(0.001);
-        self.asked = 0;
-        self.demand = self.demand.mul_add(0.4, seen * 0.6);
-        let share = share(self.demand, others);
-        self.rate_per_s = rate_per_s * share;
-        self.burst = burst * share;
-        self.tokens = self.tokens.min(self.burst);
+        self.rate = rate;
+        self.others = others;
+        if elapsed_s > 0.0 {
+            let demand = f64::from(std::mem::take(&mut self.asked)) / elapsed_s;
+            let admitted = f64::from(std::mem::take(&mut self.admitted)) / elapsed_s;
+            self.demand_per_s += LATEST * (demand - self.demand_per_s);
+            self.admitted_per_s += LATEST * (admitted - self.admitted_per_s);
+        }
+        self.own_per_s = self.share_per_s();
+    }
+
+    /// Returns this VM's part of the rate, or nothing while the demand fits.
+    fn share_per_s(&self) -> Option<f64> {
+        let vms = self.others.vms.max(1) as f64;
+        if self.others.heard <= 1 && self.others.vms > 1 {
+            return Some(self.rate.per_s / vms * STANDING);
+        }
+        let reachable = self.reachable_per_s();
+        let total = self.demand_per_s + self.others.demand;
+        let is_contended = total > reachable * CONTENDED;
+        is_contended.then(|| reachable * self.demand_per_s / total.max(0.1))
+    }
+
+    /// Returns the part of the rate that belongs to the VMs that are heard of.
+    fn reachable_per_s(&self) -> f64 {
+        let vms = self.others.vms.max(1) as f64;
+        self.rate.per_s * self.others.heard.max(1) as f64 / vms
     }
 
     fn refill(&mut self, now: Instant) {
         let elapsed = now.duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
-        self.tokens = elapsed.mul_add(self.rate_per_s, self.tokens).min(self.burst);
-    }
-}
-
-/// Returns this entry VM's part of a rate, from 0 to 1.
-#[must_use]
-pub fn share(demand: f64, others: Others) -> f64 {
-    let vms = others.vms.max(1) as f64;
-    let standing = STANDING / vms;
-    let is_alone = others.heard <= 1 && others.vms > 1;
-    if is_alone {
-        return standing;
+        let reachable = self.reachable_per_s();
+        let part = reachable / self.rate.per_s.max(0.01);
+        let net = reachable - self.others.admitted;
+        let most = (self.rate.burst * part).max(1.0);
+        self.fleet = net.mul_add(elapsed, self.fleet).clamp(-DEBT_S * self.rate.per_s, most);
+        let own_per_s = self.own_per_s.unwrap_or(self.rate.per_s);
+        let own_most = own_per_s.max(LEAST_BURST);
+        self.own = own_per_s.mul_add(elapsed, self.own).min(own_most);
     }
-    let unheard = others.vms.saturating_sub(others.heard) as f64;
-    let lendable = 1.0 - standing * (vms - unheard) - unheard / vms;
-    let even = 1.0 / others.heard.max(1) as f64;
-    let total = demand + others.demand;
-    let part = if total < 1.0 { even } else { demand / total };
-    standing + lendable.max(0.0) * part
 }
