Begin with objects where the slots are

Before any load is seen, the part that begins elsewhere is what the callers' part, by entry VMs, exceeds the part of the slots.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,7 +14,7 @@
 use steer::budget::Budget;
 use steer::cold::Vm;
 use steer::place::Distance;
-use steer::spill::{Busy, Spill};
+use steer::spill::{Busy, Shares, Spill};
 use steer::quota::{Account, Others, Rate};
 use steer::split::Split;
 use tokio::sync::watch;
@@ -491,6 +491,9 @@
             let busy = self.busy_around(service, &picture, servers.of(service));
             let mut spills = self.spills.borrow_mut();
             let spill = spills.entry(service.clone()).or_default();
+            if !self.budgets.borrow().contains_key(service) {
+                *spill = self.prior(&picture, servers.of(service));
+            }
             let zone = picture.load(peers::number(service), peers::number(&self.settings.zone));
             let told = zone.map(|load| Spill {
                 zone: f64::from(load.spill_zone),
@@ -500,6 +503,27 @@
         }
     }
 
+    /// Returns the objects that begin away from this zone before any request was seen.
+    fn prior(&self, picture: &Report, servers: &[Rc<Live>]) -> Spill {
+        let board = self.board.borrow();
+        let mut zones: Vec<&str> = board.ready(picture).iter().map(|(_, peer)| peer.zone.as_str()).collect();
+        zones.push(&self.settings.zone);
+        let in_region = |zone: &&&str| self.region_of(zone) == self.settings.region;
+        let in_zone = |zone: &&&str| **zone == self.settings.zone;
+        let callers = zones.len() as f64;
+        let slots = |most: Distance| -> f64 {
+            let near = servers.iter().filter(|live| live.distance <= most);
+            near.map(|live| f64::from(live.slots.get())).sum()
+        };
+        let all = slots(Distance::Far).max(1.0);
+        Spill::prior(Shares {
+            zone_slots: slots(Distance::Zone) / all,
+            region_slots: slots(Distance::Region) / all,
+            zone_callers: zones.iter().filter(in_zone).count() as f64 / callers,
+            region_callers: zones.iter().filter(in_region).count() as f64 / callers,
+        })
+    }
+
     fn note_busy(&self, service: &str, servers: &[Rc<Live>], now: Instant) {
         let own = servers.iter().filter(|live| live.distance == Distance::Zone && live.ready.get());
         let (load, slots) = own.fold((0.0, 0.0), |(load, slots), live| {
--- a/crates/steer/src/spill.rs
+++ b/crates/steer/src/spill.rs
@@ -42,7 +42,35 @@
 /// Largest decline of a part in a second.
 const DOWN_PER_S: f64 = 0.03;
 
+/// Largest part that is moved away before any load was seen.
+const PRIOR_MOST: f64 = 0.9;
+
+/// Where slots and callers are, as parts of the whole.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Shares {
+    /// Slots of the zone.
+    pub zone_slots: f64,
+    /// Slots of the region.
+    pub region_slots: f64,
+    /// Callers of the zone.
+    pub zone_callers: f64,
+    /// Callers of the region.
+    pub region_callers: f64,
+}
+
 impl Spill {
+    /// Returns the parts to begin with before any load was seen: servers are cold then, and each
+    /// region's slots take the part of the work that they are of all slots.
+    #[must_use]
+    pub fn prior(shares: Shares) -> Self {
+        let zone_slots = shares.zone_slots / shares.region_slots.max(f64::MIN_POSITIVE);
+        let zone_callers = shares.zone_callers / shares.region_callers.max(f64::MIN_POSITIVE);
+        Self {
+            zone: excess(zone_slots, zone_callers),
+            region: excess(shares.region_slots, shares.region_callers),
+        }
+    }
+
     /// Returns the parts after `elapsed_s` seconds in which servers were as `busy` as given.
     #[must_use]
     pub fn after(self, busy: Busy, elapsed_s: f64) -> Self {
@@ -67,6 +95,14 @@
     }
 }
 
+/// Returns the part of the callers' work that the slots have no room for.
+fn excess(slots: f64, callers: f64) -> f64 {
+    if callers <= slots {
+        return 0.0;
+    }
+    (1.0 - slots / callers).min(PRIOR_MOST)
+}
+
 fn adjust(part: f64, near: f64, further: Option<f64>, elapsed_s: f64) -> f64 {
     let Some(further) = further else {
         return 0.0;
