--- a/crates/entry/src/neighbour.rs
+++ b/crates/entry/src/neighbour.rs
@@ -1,9 +1,10 @@
 //! State for entry VMs that cannot read the store themselves.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use event::Event;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -15,11 +16,8 @@
 use crate::state::State;
 use crate::store::Raw;
 
-/// Path of the state service.
-const PATH: &str = "/state";
-
-/// Longest time that a neighbour may take.
-const CALL: Duration = Duration::from_millis(800);
+/// Path of the state service; the revision that the caller knows follows.
+const PATH: &str = "/state?after=";
 
 /// Largest answer, in bytes.
 const MAX_BYTES: u64 = 8 << 20;
@@ -32,41 +30,71 @@
 pub struct Snapshot {
     /// Store revision up to which changes are known.
     pub revision: u64,
-    /// Keys that an entry VM uses.
+    /// Keys.
     pub items: Vec<Raw>,
+    /// Whether the keys are all there are, and not only those that changed.
+    pub is_whole: bool,
+    /// Time since the sender was last up to date, in milliseconds.
+    pub age_ms: u64,
+    /// Time for which missing backend servers are still kept, in milliseconds.
+    pub rejoin_ms: u64,
 }
 
 /// Answers a neighbour.
 #[must_use]
 pub fn answer(state: &State, head: &Request) -> Reply {
-    if &head.target[..] != PATH.as_bytes() {
+    let target = std::str::from_utf8(&head.target).unwrap_or_default();
+    let Some(after) = target.strip_prefix(PATH).and_then(|after| after.parse().ok()) else {
         return Reply::refused(Refusal::NoRoute);
+    };
+    let Some(read_at) = state.read_at() else {
+        return Reply::refused(Refusal::Starting);
+    };
+    match postcard::to_stdvec(&snapshot(state, after, read_at)) {
+        Ok(bytes) => Reply::own(200, None, Bytes::from(bytes)),
+        Err(error) => {
+            let addr = state.board.borrow().own().peer;
+            let error = error.to_string();
+            event::emit(&Event::NeighbourUnreachable { addr, error });
+            Reply::refused(Refusal::Starting)
+        }
     }
-    let snapshot = Snapshot {
+}
+
+fn snapshot(state: &State, after: u64, read_at: Instant) -> Snapshot {
+    let now = Instant::now();
+    let changes = state.copy().changes(after);
+    let is_whole = changes.is_none();
+    let rejoin = state.rejoin_until().map(|until| until.saturating_duration_since(now));
+    Snapshot {
         revision: state.revision(),
-        items: state.raw(),
-    };
-    match postcard::to_stdvec(&snapshot) {
-        Ok(bytes) if snapshot.revision > 0 => Reply::own(200, None, Bytes::from(bytes)),
-        Ok(_) | Err(_) => Reply::refused(Refusal::Starting),
+        items: changes.unwrap_or_else(|| state.copy().all()),
+        is_whole,
+        age_ms: whole_ms(now.duration_since(read_at)),
+        rejoin_ms: whole_ms(rejoin.unwrap_or_default()),
     }
 }
 
-/// Asks the neighbour at `addr` for its state.
+fn whole_ms(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Asks the neighbour at `addr` for what changed after `revision`, for at most `limit`.
 ///
 /// # Errors
 ///
 /// Says what failed.
-pub async fn fetch(addr: SocketAddr) -> Result<Snapshot, String> {
-    let fetched = timeout(CALL, exchange(addr)).await;
+pub async fn fetch(addr: SocketAddr, revision: u64, limit: Duration) -> Result<Snapshot, String> {
+    let fetched = timeout(limit, exchange(addr, revision)).await;
     fetched.map_err(|_| "no answer in time".to_owned())?
 }
 
-async fn exchange(addr: SocketAddr) -> Result<Snapshot, String> {
+async fn exchange(addr: SocketAddr, revision: u64) -> Result<Snapshot, String> {
     let text = |error: std::io::Error| error.to_string();
     let mut stream = TcpStream::connect(addr).await.map_err(text)?;
-    let request = format!("GET {PATH} HTTP/1.1\r\nHost: {addr}\r\nConnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes()).await.map_err(text)?;
+    let target = format!("{PATH}{revision}");
+    let head = format!("GET {target} HTTP/1.1\r\nHost: {addr}\r\nConnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.map_err(text)?;
     let mut buffer = BytesMut::new();
     let mut body = None;
     loop {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -107,6 +107,7 @@
         }],
         asked: asked(state),
         loads: loads(state),
+        crashes: state.quarantine.crashes(),
     }
 }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -8,12 +8,14 @@
 use event::Event;
 use fleet::config::may_run_in;
 use fleet::{Config, Kind, Route, Workspace};
+use killer::Fingerprint;
 use rand::Rng as _;
 use steer::place::{self, Candidate, hash};
 
 use crate::answer::{Refusal, Reply, forwarded};
 use crate::caller::Incoming;
 use crate::head::Request;
+use crate::quarantine;
 use crate::servers::Live;
 use crate::state::State;
 use crate::upstream::{self, Answered, Outcome, Outgoing};
@@ -32,7 +34,7 @@
 
 /// A request with all that was decided about it.
 struct Job<'a> {
-    state: &'a State,
+    state: &'a Rc<State>,
     config: Rc<Config>,
     route: &'a Route,
     workspace: Option<&'a Workspace>,
@@ -57,7 +59,7 @@
 }
 
 /// Answers a request.
-pub async fn answer(state: &State, incoming: Incoming) -> Reply {
+pub async fn answer(state: &Rc<State>, incoming: Incoming) -> Reply {
     let _in_flight = state.begin();
     let mut trail = Trail::new(state, &incoming);
     let outcome = run(state, &incoming, &mut trail).await;
@@ -72,7 +74,7 @@
 }
 
 async fn run(
-    state: &State,
+    state: &Rc<State>,
     incoming: &Incoming,
     trail: &mut Trail<'_>,
 ) -> Result<Answered, Refusal> {
@@ -88,6 +90,9 @@
     if !state.can_finish(deadline) {
         return Err(Refusal::Leaving);
     }
+    if !state.quarantine.is_empty() && state.quarantine.holds(&fingerprint(incoming, workspace)) {
+        return Err(Refusal::Quarantined);
+    }
     let object = object(state, incoming);
     let service = service(state, route, object);
     trail.service = service.to_owned();
@@ -140,6 +145,14 @@
     Ok(Some(workspace))
 }
 
+/// Returns the hash of what the request asks for.
+fn fingerprint(incoming: &Incoming, workspace: Option<&Workspace>) -> Fingerprint {
+    let workspace = workspace.map_or("", |workspace| &workspace.name);
+    let method = String::from_utf8_lossy(&incoming.head.method);
+    let target = String::from_utf8_lossy(&incoming.head.target);
+    Fingerprint::new(workspace, &method, &target, &incoming.body)
+}
+
 fn admit(state: &State, workspace: &Workspace) -> Result<(), Refusal> {
     if workspace.rate_per_s <= 0.0 {
         return Ok(());
@@ -273,6 +286,10 @@
 
     fn note_answer(&self, live: &Live, answered: &Answered) {
         live.note_answer();
+        if !self.state.quarantine.is_empty() {
+            let fingerprint = fingerprint(self.incoming, self.workspace);
+            self.state.quarantine.note_answer(fingerprint, live.addr);
+        }
         let told = answered.head.fields.text(self.state.names.load);
         let mut told = told.unwrap_or_default().split(',').map(|part| part.trim().parse());
         if let (Some(Ok(running)), Some(Ok(waiting))) = (told.next(), told.next()) {
@@ -281,7 +298,7 @@
     }
 
     /// Decides what follows `outcome`.
-    fn judge(&mut self, live: &Live, outcome: Outcome) -> Result<Step, Refusal> {
+    fn judge(&mut self, live: &Rc<Live>, outcome: Outcome) -> Result<Step, Refusal> {
         let may_repeat = self.route.kind == Kind::Idempotent;
         match outcome {
             Outcome::Answered(answered) => {
@@ -312,6 +329,7 @@
                 self.sent += 1;
                 self.may_have_run = true;
                 self.note_failure(live, &problem);
+                quarantine::look(self.state, live, fingerprint(self.incoming, self.workspace));
                 if may_repeat && self.sent < self.route.max_attempts && self.is_worth_another() {
                     return Ok(Step::Again);
                 }
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -145,6 +145,12 @@
         self.idle.borrow_mut().clear();
     }
 
+    /// Returns whether its last heartbeat said that it is cold.
+    #[must_use]
+    pub fn says_cold(&self, now: Instant) -> bool {
+        self.cold.borrow().says_cold(now)
+    }
+
     /// Notes an answer.
     pub fn note_answer(&self) {
         self.down.set(None);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,7 +1,7 @@
 //! State that all tasks of the daemon share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
@@ -19,9 +19,11 @@
 use steer::split::Split;
 use tokio::sync::watch;
 
+use crate::copy::Copy;
 use crate::counts::Counts;
 use crate::names::Names;
 use crate::peers;
+use crate::quarantine::Quarantine;
 use crate::servers::{Live, Servers};
 use crate::settings::Settings;
 use crate::store::Raw;
@@ -50,16 +52,19 @@
     pub spills: RefCell<HashMap<String, Spill>>,
     /// How busy the backend servers of this zone are, by service.
     pub busy: RefCell<HashMap<String, f64>>,
+    /// Requests that crash backend servers.
+    pub quarantine: Quarantine,
     /// Counters.
     pub counts: Counts,
     /// What is known of the fleet, this VM included.
     picture: RefCell<Report>,
     config: RefCell<Option<Rc<Config>>>,
     roster: RefCell<Roster>,
-    /// Keys as the store holds them, for entry VMs that cannot read it.
-    raw: RefCell<BTreeMap<String, Raw>>,
+    /// Keys as the store holds them, for entry VMs that do not read it.
+    copy: RefCell<Copy>,
+    /// When the state was last brought up to date.
+    read_at: Cell<Option<Instant>>,
     revision: Cell<u64>,
-    has_read: Cell<bool>,
     phase: watch::Sender<Phase>,
     /// When the process ends, once it has been told to.
     ends: Cell<Option<Instant>>,
@@ -101,12 +106,13 @@
             splits: RefCell::default(),
             spills: RefCell::default(),
             busy: RefCell::default(),
+            quarantine: Quarantine::default(),
             counts: Counts::default(),
             config: RefCell::default(),
             roster: RefCell::default(),
-            raw: RefCell::default(),
+            copy: RefCell::default(),
+            read_at: Cell::new(None),
             revision: Cell::new(0),
-            has_read: Cell::new(false),
             phase,
             ends: Cell::new(None),
             in_flight: Cell::new(0),
@@ -140,15 +146,31 @@
     }
 
     /// Notes that all changes up to `revision` are known.
-    pub fn set_revision(&self, revision: u64) {
+    pub fn set_revision(&self, revision: u64, read_at: Instant) {
         self.revision.set(revision);
-        self.has_read.set(true);
+        self.read_at.set(Some(read_at));
+    }
+
+    /// Returns when the state was last brought up to date.
+    #[must_use]
+    pub fn read_at(&self) -> Option<Instant> {
+        self.read_at.get()
+    }
+
+    /// Notes that all keys are known as of `revision`.
+    pub fn note_listed(&self, revision: u64) {
+        self.copy.borrow_mut().note_listed(revision);
+    }
+
+    /// Returns the copy of the store's keys.
+    pub fn copy(&self) -> std::cell::Ref<'_, Copy> {
+        self.copy.borrow()
     }
 
     /// Returns whether the daemon can serve callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.has_read.get() && self.config.borrow().is_some()
+        !self.is_leaving() && self.read_at.get().is_some() && self.config.borrow().is_some()
     }
 
     /// Returns whether the daemon has begun to stop.
@@ -207,18 +229,13 @@
         self.settings.zones.get(zone).map_or("", String::as_str)
     }
 
-    /// Returns the keys as the store holds them.
-    #[must_use]
-    pub fn raw(&self) -> Vec<Raw> {
-        self.raw.borrow().values().cloned().collect()
-    }
-
     /// Takes a key of the store that `item` is the meaning of.
     pub fn apply(&self, raw: Raw, item: Item) {
+        let mut is_heartbeat = false;
         match item {
             Item::Other => return,
             Item::Config(config) => self.put_in_force(*config),
-            Item::Server { id, entry } => self.register(&id, entry),
+            Item::Server { id, entry } => is_heartbeat = self.register(&id, entry),
             Item::ServerGone { id } => self.forget(&id),
             Item::Evacuated { zone } => self.evacuate(&zone, true),
             Item::Restored { zone } => self.evacuate(&zone, false),
@@ -229,19 +246,7 @@
                 return;
             }
         }
-        let mut kept = self.raw.borrow_mut();
-        if raw.value.is_some() {
-            kept.insert(raw.key.clone(), raw);
-        } else {
-            kept.remove(&raw.key);
-        }
-    }
-
-    /// Returns the keys that are kept and not among `listed`.
-    #[must_use]
-    pub fn unlisted(&self, listed: &HashSet<String>) -> Vec<String> {
-        let kept = self.raw.borrow();
-        kept.keys().filter(|key| !listed.contains(*key)).cloned().collect()
+        self.copy.borrow_mut().put(raw, is_heartbeat);
     }
 
     /// Notes that the store answers again after an outage.
@@ -249,6 +254,17 @@
         self.roster.borrow_mut().note_outage_end(now);
     }
 
+    /// Returns until when missing backend servers are kept.
+    #[must_use]
+    pub fn rejoin_until(&self) -> Option<Instant> {
+        self.roster.borrow().rejoin_until()
+    }
+
+    /// Keeps missing backend servers until `until`, as another entry VM does.
+    pub fn set_rejoin_until(&self, until: Instant) {
+        self.roster.borrow_mut().set_rejoin_until(until);
+    }
+
     /// Gives up backend servers that have not registered again in time.
     pub fn expire(&self, now: Instant) {
         let expired = self.roster.borrow_mut().expire(now);
@@ -268,13 +284,16 @@
         self.rebalance(0.0, Instant::now());
     }
 
-    fn register(&self, id: &str, entry: Entry) {
+    /// Takes a backend server's registration; returns whether it says nothing new.
+    fn register(&self, id: &str, entry: Entry) -> bool {
         let now = Instant::now();
         let change = self.roster.borrow_mut().register(id, entry);
+        let was_cold = self.servers.borrow().get(id).is_some_and(|live| live.says_cold(now));
         let roster = self.roster.borrow();
         let Some(server) = roster.server(id) else {
-            return;
+            return false;
         };
+        let is_cold = !server.entry.warmup_left.is_zero();
         let mut servers = self.servers.borrow_mut();
         match (change, servers.get(id)) {
             (Change::None, Some(_)) => {}
@@ -300,6 +319,7 @@
                 });
             }
         }
+        matches!(change, Change::None | Change::Heartbeat) && is_cold == was_cold
     }
 
     fn distance(&self, zone: &str) -> Distance {
@@ -404,6 +424,12 @@
         board.ahead(&self.picture.borrow(), self.revision())
     }
 
+    /// Returns the state service of the entry VM that leads the zone, if that is another.
+    #[must_use]
+    pub fn lead(&self) -> Option<SocketAddr> {
+        self.board.borrow().lead(Instant::now())
+    }
+
     /// Draws conclusions from what the other entry VMs told, `elapsed_s` seconds after the last
     /// time.
     pub fn tick(&self, elapsed_s: f64, now: Instant) {
@@ -412,6 +438,8 @@
         board.expire(now);
         self.picture.replace(board.fleet(now));
         drop(board);
+        self.quarantine.learn(&self.picture.borrow().crashes);
+        self.quarantine.expire();
         self.rebalance(elapsed_s, now);
         self.spill(elapsed_s, now);
     }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -1,8 +1,9 @@
 //! Keeping up with the platform's store.
 //!
-//! One reader lists all keys once and then asks for changes, with a pause between two questions so
-//! that heartbeats are taken in batches. While the store does not answer, the reader asks an entry
-//! VM that knows more than this one.
+//! The entry VM that leads its zone lists all keys once and then asks for changes, with a pause
+//! between two questions so that heartbeats are taken in batches. The others of the zone ask the
+//! lead. One that hears nothing new from its lead reads the store itself, and one that cannot read
+//! the store asks any entry VM that knows more.
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -11,14 +12,14 @@
 use event::Event;
 use tokio::time::sleep;
 
-use crate::neighbour;
+use crate::neighbour::{self, Snapshot};
 use crate::peers;
 use crate::state::State;
 use crate::store::{Raw, Store, StoreError};
 
 /// Time between two questions for changes; half a second leaves a change of the platform's two
 /// seconds three more tries.
-const PAUSE: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(600);
 
 /// Longest time that the store holds a question without changes.
 const WAIT: Duration = Duration::from_millis(800);
@@ -32,58 +33,96 @@
 /// Time between two renewals of the lease.
 const RENEW: Duration = Duration::from_secs(3);
 
+/// Most neighbours that are asked at once.
+const MAX_ASKED: usize = 2;
+
+/// Age from which on a lead's knowledge is not relied on, in milliseconds.
+const STALE_MS: u64 = 1_500;
+
+/// Longest time that a lead, in the same zone, may take to answer.
+const LEAD_ANSWER: Duration = Duration::from_millis(400);
+
+/// Longest time that an entry VM in another region may take to answer.
+const FAR_ANSWER: Duration = Duration::from_millis(800);
+
+/// Time between two questions to the lead.
+const FOLLOW: Duration = Duration::from_millis(400);
+
 /// Keeps the state up to date.
 pub async fn run<S: Store>(state: Rc<State>, mut store: S) {
-    let mut reader = Reader::new(&state);
+    let mut reader = Reader {
+        state: &state,
+        is_listed: false,
+        lost_since: None,
+    };
     loop {
-        let read = reader.read(&mut store).await;
-        let pause = match &read {
-            Ok(()) => PAUSE,
-            Err(_) => RETRY,
-        };
-        match read {
-            Ok(()) => reader.note_answer(),
-            Err(StoreError::Compacted) => reader.is_listed = false,
-            Err(error) => {
-                reader.note_failure(&error);
-                reader.ask_neighbours(&store).await;
-            }
-        }
+        let pause = reader.turn(&mut store).await;
         sleep(pause).await;
     }
 }
 
 struct Reader<'a> {
     state: &'a State,
+    /// Whether all keys are known, so that changes suffice.
     is_listed: bool,
     /// Since when the store does not answer.
     lost_since: Option<Instant>,
 }
 
-impl<'a> Reader<'a> {
-    fn new(state: &'a State) -> Self {
-        Self {
-            state,
-            is_listed: false,
-            lost_since: None,
+impl Reader<'_> {
+    /// Brings the state up to date once; returns the pause until the next time.
+    async fn turn<S: Store>(&mut self, store: &mut S) -> Duration {
+        if self.follow(store).await {
+            return FOLLOW;
+        }
+        match self.read(store).await {
+            Ok(()) => PAUSE,
+            Err(StoreError::Compacted) => {
+                self.is_listed = false;
+                Duration::ZERO
+            }
+            Err(error) => {
+                self.note_failure(&error);
+                self.ask_neighbours(store).await;
+                RETRY
+            }
+        }
+    }
+
+    /// Takes the lead's knowledge; returns whether it is recent.
+    async fn follow<S: Store>(&mut self, store: &S) -> bool {
+        let Some(lead) = self.state.lead() else {
+            return false;
+        };
+        match neighbour::fetch(lead, self.state.revision(), LEAD_ANSWER).await {
+            Ok(snapshot) if snapshot.age_ms < STALE_MS => {
+                take(self.state, store, snapshot);
+                self.is_listed = true;
+                self.lost_since = None;
+                true
+            }
+            Ok(_) => false,
+            Err(error) => {
+                event::emit(&Event::NeighbourUnreachable { addr: lead, error });
+                false
+            }
         }
     }
 
     async fn read<S: Store>(&mut self, store: &mut S) -> Result<(), StoreError> {
+        let asked_at = Instant::now();
         if !self.is_listed {
             let (items, revision) = list(store).await?;
             self.note_answer();
             replace(self.state, store, items, revision);
+            self.state.set_revision(revision, asked_at);
             self.is_listed = true;
             return Ok(());
         }
         let batch = store.watch(self.state.revision(), WAIT).await?;
         self.note_answer();
-        for raw in batch.events {
-            let item = store.decode(&raw);
-            self.state.apply(raw, item);
-        }
-        self.state.set_revision(batch.revision);
+        apply(self.state, store, batch.events);
+        self.state.set_revision(batch.revision, asked_at);
         Ok(())
     }
 
@@ -104,15 +143,16 @@
         }
     }
 
-    async fn ask_neighbours<S: Store>(&self, store: &S) {
+    async fn ask_neighbours<S: Store>(&mut self, store: &S) {
         let mut ahead = self.state.ahead();
         if self.state.revision() == 0 {
             ahead.extend(self.state.settings.seeds.iter().copied());
         }
-        for addr in ahead.into_iter().take(2) {
-            match neighbour::fetch(addr).await {
+        for addr in ahead.into_iter().take(MAX_ASKED) {
+            match neighbour::fetch(addr, self.state.revision(), FAR_ANSWER).await {
                 Ok(snapshot) if snapshot.revision > self.state.revision() => {
-                    replace(self.state, store, snapshot.items, snapshot.revision);
+                    take(self.state, store, snapshot);
+                    self.is_listed = true;
                     return;
                 }
                 Ok(_) => {}
@@ -122,6 +162,31 @@
     }
 }
 
+/// Takes what a neighbour knows.
+fn take<S: Store>(state: &State, store: &S, snapshot: Snapshot) {
+    let now = Instant::now();
+    if snapshot.rejoin_ms > 0 {
+        state.set_rejoin_until(now + Duration::from_millis(snapshot.rejoin_ms));
+    }
+    if snapshot.revision < state.revision() {
+        return;
+    }
+    if snapshot.is_whole {
+        replace(state, store, snapshot.items, snapshot.revision);
+    } else {
+        apply(state, store, snapshot.items);
+    }
+    let age = Duration::from_millis(snapshot.age_ms);
+    state.set_revision(snapshot.revision, now.checked_sub(age).unwrap_or(now));
+}
+
+fn apply<S: Store>(state: &State, store: &S, items: Vec<Raw>) {
+    for raw in items {
+        let item = store.decode(&raw);
+        state.apply(raw, item);
+    }
+}
+
 async fn list<S: Store>(store: &mut S) -> Result<(Vec<Raw>, u64), StoreError> {
     let first = store.list("").await?;
     let revision = first.revision;
@@ -139,20 +204,15 @@
 /// Puts `items` in the place of all that was known.
 fn replace<S: Store>(state: &State, store: &S, items: Vec<Raw>, revision: u64) {
     let listed: HashSet<String> = items.iter().map(|raw| raw.key.clone()).collect();
-    for key in state.unlisted(&listed) {
-        let gone = Raw {
-            key,
-            value: None,
-            revision,
-        };
-        let item = store.decode(&gone);
-        state.apply(gone, item);
-    }
-    for raw in items {
-        let item = store.decode(&raw);
-        state.apply(raw, item);
-    }
-    state.set_revision(revision);
+    let unlisted = state.copy().unlisted(&listed);
+    let gone = unlisted.into_iter().map(|key| Raw {
+        key,
+        value: None,
+        revision,
+    });
+    apply(state, store, gone.collect());
+    apply(state, store, items);
+    state.note_listed(revision);
 }
 
 /// Keeps this entry VM announced.
--- a/crates/fleet/src/board.rs
+++ b/crates/fleet/src/board.rs
@@ -46,6 +46,19 @@
     pub asked: Vec<Asked>,
     /// Load of services, for each zone.
     pub loads: Vec<Load>,
+    /// Backend servers that crashed while they ran a request.
+    pub crashes: Vec<Crash>,
+}
+
+/// A backend server that crashed while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Fingerprint of the request.
+    pub fingerprint: [u8; 16],
+    /// Address of the backend server.
+    pub server: SocketAddr,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// An entry VM that is alive.
@@ -248,6 +261,13 @@
         !self.known.values().any(|known| is_higher(&known))
     }
 
+    /// Returns the state service of the VM that leads the zone, if that is another.
+    #[must_use]
+    pub fn lead(&self, now: Instant) -> Option<SocketAddr> {
+        let picture = self.picture.as_ref().filter(|_| !self.leads(now))?;
+        self.known.get(&picture.vm)?.announcement.state
+    }
+
     /// Returns the messages to send, if `own` is to be told about this VM.
     #[must_use]
     pub fn messages(&mut self, own: Report, now: Instant) -> Vec<(SocketAddr, Message)> {
@@ -379,6 +399,12 @@
     }
 }
 
+impl Crash {
+    fn is_same(&self, other: &Self) -> bool {
+        self.fingerprint == other.fingerprint && self.server == other.server
+    }
+}
+
 impl Report {
     /// Adds what `other` tells about other VMs.
     pub fn merge(&mut self, other: &Self) {
@@ -402,6 +428,11 @@
         for load in &other.loads {
             self.merge_load(load);
         }
+        for crash in &other.crashes {
+            if !self.crashes.iter().any(|known| known.is_same(crash)) {
+                self.crashes.push(crash.clone());
+            }
+        }
     }
 
     /// Takes the mean of what VMs of one zone tell about it.
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -107,6 +107,17 @@
         self.rejoin_until = Some(now + REJOIN);
     }
 
+    /// Returns until when missing registrations are kept.
+    #[must_use]
+    pub fn rejoin_until(&self) -> Option<Instant> {
+        self.rejoin_until
+    }
+
+    /// Keeps missing registrations until `until`, as another entry VM does.
+    pub fn set_rejoin_until(&mut self, until: Instant) {
+        self.rejoin_until = self.rejoin_until.max(Some(until));
+    }
+
     /// Takes the removal of a registration; returns the server if it is gone at once.
     pub fn remove(&mut self, id: &str, now: Instant) -> Option<Server> {
         match self.rejoin_until {
--- a/crates/killer/src/record.rs
+++ b/crates/killer/src/record.rs
@@ -59,6 +59,12 @@
         later
     }
 
+    /// Returns the number of crashes since the last success.
+    pub(crate) fn crashes_since_success(&self) -> usize {
+        let after = |crash: &&Crash| self.succeeded.is_none_or(|at| crash.at > at);
+        self.crashes.iter().filter(after).count()
+    }
+
     pub(crate) fn crashes(&self) -> &[Crash] {
         &self.crashes
     }
--- a/crates/killer/src/watch.rs
+++ b/crates/killer/src/watch.rs
@@ -109,6 +109,19 @@
         record.is_some_and(|record| record.standing(PROVEN_MS) == Standing::Quarantined)
     }
 
+    /// Returns the number of servers that a request crashed since its last success.
+    #[must_use]
+    pub fn crashes(&self, fingerprint: &Fingerprint) -> usize {
+        let record = self.records.get(fingerprint);
+        record.map_or(0, Record::crashes_since_success)
+    }
+
+    /// Returns whether no request is known to have crashed a server.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Notes how a run ended on `server` in `zone`.
     pub fn note(
         &mut self,
--- a/crates/steer/src/cold.rs
+++ b/crates/steer/src/cold.rs
@@ -58,11 +58,16 @@
         self.suspect = Some(now);
     }
 
+    /// Returns whether the server said that it is cold.
+    #[must_use]
+    pub fn says_cold(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether the server is cold or may be.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
-        let says_so = self.until.is_some_and(|until| now < until);
-        says_so || self.suspect.is_some_and(|since| now < since + SUSPECT)
+        self.says_cold(now) || self.suspect.is_some_and(|since| now < since + SUSPECT)
     }
 
     /// Returns whether the owner may send another request, if all entry VMs together may send
