Count a lead's age from its answer, and renew announcements rarely

Cause: a lead's knowledge was dated from the question, so with its wait and pause it looked stale and all followers read the store too (670 of 923 readings in 15 s).

--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -17,27 +17,29 @@
 use crate::state::State;
 use crate::store::{Raw, Store, StoreError};
 
-/// Time between two questions for changes; half a second leaves a change of the platform's two
-/// seconds three more tries.
-const PAUSE: Duration = Duration::from_millis(600);
+/// Time between two questions for changes. Followers add theirs, and the sum has to stay well
+/// below the two seconds within which changes take effect.
+const PAUSE: Duration = Duration::from_millis(500);
 
 /// Longest time that the store holds a question without changes.
-const WAIT: Duration = Duration::from_millis(800);
+const WAIT: Duration = Duration::from_millis(300);
 
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(250);
 
-/// Term of the lease on the announcement.
-const LEASE: Duration = Duration::from_secs(10);
+/// Term of the lease on the announcement. Who is alive is judged by messages, so the term only
+/// bounds how long a lost VM is still greeted.
+const LEASE: Duration = Duration::from_secs(90);
 
 /// Time between two renewals of the lease.
-const RENEW: Duration = Duration::from_secs(3);
+const RENEW: Duration = Duration::from_secs(30);
 
 /// Most neighbours that are asked at once.
 const MAX_ASKED: usize = 2;
 
-/// Age from which on a lead's knowledge is not relied on, in milliseconds.
-const STALE_MS: u64 = 1_500;
+/// Age from which on a lead's knowledge is not relied on, in milliseconds: a pause and a wait of
+/// the lead, and a slow answer.
+const STALE_MS: u64 = 1_000;
 
 /// Longest time that a lead, in the same zone, may take to answer.
 const LEAD_ANSWER: Duration = Duration::from_millis(400);
@@ -110,19 +112,18 @@
     }
 
     async fn read<S: Store>(&mut self, store: &mut S) -> Result<(), StoreError> {
-        let asked_at = Instant::now();
         if !self.is_listed {
             let (items, revision) = list(store).await?;
             self.note_answer();
             replace(self.state, store, items, revision);
-            self.state.set_revision(revision, asked_at);
+            self.state.set_revision(revision, Instant::now());
             self.is_listed = true;
             return Ok(());
         }
         let batch = store.watch(self.state.revision(), WAIT).await?;
         self.note_answer();
         apply(self.state, store, batch.events);
-        self.state.set_revision(batch.revision, asked_at);
+        self.state.set_revision(batch.revision, Instant::now());
         Ok(())
     }
 
--- a/crates/fleet/src/board.rs
+++ b/crates/fleet/src/board.rs
@@ -18,8 +18,11 @@
 /// Silence after which an entry VM no longer counts as alive.
 const SILENCE: Duration = Duration::from_millis(2_500);
 
+/// Silence after which an entry VM is forgotten, whether or not it is still announced.
+const FORGET: Duration = Duration::from_secs(20);
+
 /// Silence after which a withdrawn entry VM is forgotten.
-const FORGET: Duration = Duration::from_secs(10);
+const FORGET_WITHDRAWN: Duration = Duration::from_secs(10);
 
 /// Ranks of a zone that are told about each VM.
 const TOLD_RANKS: usize = 3;
@@ -127,9 +130,10 @@
     announcement: Announcement,
     is_announced: bool,
     rank: u64,
-    /// When it was last heard itself, or became known.
+    /// When it became known or was last heard of, from itself or from others.
     last: Instant,
-    has_spoken: bool,
+    /// When it was last heard itself.
+    spoke: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -210,7 +214,7 @@
             is_announced: false,
             rank,
             last: now,
-            has_spoken: false,
+            spoke: None,
         });
         known.announcement = announcement;
         Some(known)
@@ -223,7 +227,8 @@
             return;
         };
         known.last = now;
-        known.has_spoken = true;
+        known.spoke = Some(now);
+        self.note_seen(&message.report, now);
         let told = Told {
             report: message.report,
             vm: message.vm.clone(),
@@ -242,9 +247,22 @@
         }
     }
 
+    /// Notes that the VMs of `report` are alive.
+    fn note_seen(&mut self, report: &Report, now: Instant) {
+        let seen: HashSet<u64> = report.vms.iter().map(|seen| seen.vm).collect();
+        for known in self.known.values_mut() {
+            if seen.contains(&known.rank) {
+                known.last = now;
+            }
+        }
+    }
+
     /// Forgets what is too old.
     pub fn expire(&mut self, now: Instant) {
-        self.known.retain(|_, known| known.is_announced || now.duration_since(known.last) < FORGET);
+        self.known.retain(|_, known| {
+            let limit = if known.is_announced { FORGET } else { FORGET_WITHDRAWN };
+            now.duration_since(known.last) < limit
+        });
         self.hellos.retain(|_, told| now.duration_since(told.at) < SILENCE);
         self.digests.retain(|_, told| now.duration_since(told.at) < SILENCE);
         self.picture.take_if(|told| now.duration_since(told.at) >= LEAD_SILENCE);
@@ -255,7 +273,7 @@
     pub fn leads(&self, now: Instant) -> bool {
         let own = (self.hash)(&self.name);
         let is_higher = |known: &&Known| {
-            let is_heard = known.has_spoken && now.duration_since(known.last) < LEAD_SILENCE;
+            let is_heard = known.spoke.is_some_and(|at| now.duration_since(at) < LEAD_SILENCE);
             is_heard && known.announcement.zone == self.own.zone && known.rank > own
         };
         !self.known.values().any(|known| is_higher(&known))
