--- a/crates/fleet/src/board.rs
+++ b/crates/fleet/src/board.rs
@@ -157,7 +157,7 @@
     picture: Option<Told>,
     /// What was last told about this VM.
     told: Report,
-    /// Number of times that messages were sent.
+    /// Number of times that other zones were told.
     turn: usize,
 }
 
@@ -239,14 +239,23 @@
             Kind::Hello if is_own_zone => {
                 self.hellos.insert(message.vm, told);
             }
-            Kind::Digest if !is_own_zone => {
-                self.digests.insert(zone, told);
-            }
+            Kind::Digest if !is_own_zone => self.take_digest(zone, told),
             Kind::Picture if is_own_zone => self.picture = Some(told),
             Kind::Hello | Kind::Digest | Kind::Picture => {}
         }
     }
 
+    /// Takes what a VM tells about its zone. While two of a zone lead, the higher rank counts.
+    fn take_digest(&mut self, zone: String, told: Told) {
+        let outranks = |earlier: &Told| {
+            let is_recent = told.at.duration_since(earlier.at) < LEAD_SILENCE;
+            is_recent && (self.hash)(&earlier.vm) > (self.hash)(&told.vm)
+        };
+        if !self.digests.get(&zone).is_some_and(outranks) {
+            self.digests.insert(zone, told);
+        }
+    }
+
     /// Notes that the VMs of `report` are alive.
     fn note_seen(&mut self, report: &Report, now: Instant) {
         let seen: HashSet<u64> = report.vms.iter().map(|seen| seen.vm).collect();
@@ -290,13 +299,12 @@
     #[must_use]
     pub fn messages(&mut self, own: Report, now: Instant) -> Vec<(SocketAddr, Message)> {
         self.told = own;
-        self.turn = self.turn.wrapping_add(1);
-        let mut messages = self.hello();
+        let mut messages = self.hello(now);
         if !self.leads(now) {
             return messages;
         }
         let digest = self.zone_report();
-        let targets = self.digest_targets();
+        let targets = self.digest_targets(now);
         messages.extend(self.to_all(&targets, Kind::Digest, &digest));
         let picture = self.fleet_report(digest);
         let zone = self.hellos.keys().filter_map(|vm| self.known.get(vm));
@@ -321,41 +329,49 @@
         targets.map(|target| (*target, message.clone())).collect()
     }
 
-    /// Tells the highest ranks of the zone, and one more that changes, about this VM.
-    fn hello(&self) -> Vec<(SocketAddr, Message)> {
-        let ranked = self.ranked(&self.own.zone);
-        let mut targets: Vec<SocketAddr> = ranked.iter().take(TOLD_RANKS).copied().collect();
-        if ranked.len() > TOLD_RANKS && self.picture.is_none() {
-            let rest = &ranked[TOLD_RANKS..];
-            targets.push(rest[self.turn % rest.len()]);
+    /// Tells the highest living ranks of the zone about this VM. One that hears of no lead tells
+    /// every higher rank, since any of them may lead.
+    fn hello(&self, now: Instant) -> Vec<(SocketAddr, Message)> {
+        let own = (self.hash)(&self.name);
+        let is_led = self.picture.is_some() && !self.leads(now);
+        let is_told = |known: &&Known| {
+            let is_alive = now.duration_since(known.last) < SILENCE;
+            if is_led { is_alive } else { known.rank > own }
+        };
+        let mut targets = self.ranked(&self.own.zone, is_told);
+        if is_led {
+            targets.truncate(TOLD_RANKS);
         }
         self.to_all(&targets, Kind::Hello, &self.told)
     }
 
-    /// Returns the addresses of a zone's other VMs, highest rank first.
-    fn ranked(&self, zone: &str) -> Vec<SocketAddr> {
+    /// Returns the addresses of those of a zone's other VMs that pass `filter`, highest rank first.
+    fn ranked(&self, zone: &str, filter: impl Fn(&&Known) -> bool) -> Vec<SocketAddr> {
         let own = self.known.values().filter(|known| known.announcement.zone == zone);
+        let own = own.filter(filter);
         let mut ranked: Vec<(u64, SocketAddr)> =
             own.map(|known| (known.rank, known.announcement.peer)).collect();
         ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
         ranked.into_iter().map(|(_, addr)| addr).collect()
     }
 
-    /// Returns the lead of each other zone, or its highest ranks if the lead is not known.
-    fn digest_targets(&self) -> Vec<SocketAddr> {
-        let zones: HashSet<&str> = self
-            .known
-            .values()
-            .map(|known| known.announcement.zone.as_str())
-            .filter(|zone| *zone != self.own.zone)
-            .collect();
+    /// Returns the lead of each other zone. Where it is not known, the highest living ranks are
+    /// told, and another VM each time.
+    fn digest_targets(&mut self, now: Instant) -> Vec<SocketAddr> {
+        self.turn = self.turn.wrapping_add(1);
+        let zones = self.known.values().map(|known| known.announcement.zone.as_str());
+        let zones: HashSet<&str> = zones.filter(|zone| *zone != self.own.zone).collect();
         let mut targets = Vec::new();
         for zone in zones {
             let lead = self.digests.get(zone).and_then(|told| self.known.get(&told.vm));
-            match lead {
-                Some(known) => targets.push(known.announcement.peer),
-                None => targets.extend(self.ranked(zone).into_iter().take(TOLD_RANKS)),
+            if let Some(known) = lead {
+                targets.push(known.announcement.peer);
+                continue;
             }
+            let is_alive = |known: &&Known| now.duration_since(known.last) < SILENCE;
+            targets.extend(self.ranked(zone, is_alive).into_iter().take(TOLD_RANKS));
+            let all = self.ranked(zone, |_| true);
+            targets.push(all[self.turn % all.len()]);
         }
         targets
     }
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -1,32 +1,43 @@
 //! Holding workspaces to their rate over all entry VMs.
 //!
-//! Answers two patterns. Many entry VMs and small workspaces: a fixed share of a rate would be
-//! less than one request, so every entry VM follows the fleet's token bucket, from which it takes
-//! its own requests at once and the others' at the rate that they tell. A workspace that sends
-//! many times its rate: once the demand told exceeds the rate, each entry VM keeps to its part of
-//! the rate by its part of the demand, and what was admitted before that was known is a debt of
-//! the bucket. An entry VM that hears of no other uses a small standing share, which the others
-//! leave to it.
-
+//! Answers two patterns. A workspace that suddenly sends many times its rate: each entry VM keeps
+//! to its part of the rate and of the burst, by its part of the demand, so that the parts sum up to
+//! the whole even before the others are heard. Many entry VMs and small workspaces: a part of a
+//! burst would be less than one request, so a VM may go beyond it by a few; every entry VM also
+//! follows the fleet's token bucket, from which it takes its own requests at once and the others'
+//! at the rate that they tell, and a debt of that bucket is paid off before more is admitted. An
+//! entry VM that hears of no other uses a small standing share, which the others leave to it.
+
+use std::collections::VecDeque;
 use std::time::Instant;
 
 /// Part of a VM's even share that it uses while it hears of no other.
 const STANDING: f64 = 0.6;
 
-/// Part of the rate above which the demand is shared out.
-const CONTENDED: f64 = 0.85;
+/// Demand that each VM is taken to have beside its own, as a part of its even share, so that a VM
+/// that callers move to can serve them before it has told of them.
+const EXPECTED: f64 = 0.5;
 
 /// Part of the burst that a new process starts with, since others may have used the rest.
 const FIRST_TOKENS: f64 = 0.3;
 
-/// Weight of the latest interval in the running rates.
+/// Weight of the latest interval in the running demand.
 const LATEST: f64 = 0.4;
 
-/// Least capacity of a VM's own bucket, in requests.
-const LEAST_BURST: f64 = 2.0;
+/// Bounds on the least capacity of a VM's own bucket, in requests; a smaller one refuses requests
+/// that come at random times within the rate.
+const LEAST_BURST: (f64, f64) = (8.0, 16.0);
+
+/// Seconds of a VM's even share that the least capacity holds between those bounds.
+const LEAST_BURST_S: f64 = 3.0;
+
+/// Intervals after which the others know of this VM's demand. Its share is worked out from the
+/// demand of that time, or all would take their own surge for a larger share before they hear of
+/// the others'.
+const TOLD_AFTER: usize = 3;
 
 /// Largest debt, in seconds of the rate.
-const DEBT_S: f64 = 4.0;
+const DEBT_S: f64 = 6.0;
 
 /// A workspace's rate.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -57,15 +68,17 @@
     others: Others,
     /// Tokens in the fleet's bucket; negative after more was admitted than the rate.
     fleet: f64,
-    /// Tokens in this VM's own bucket, which counts while the demand is shared out.
+    /// Tokens in this VM's own bucket.
     own: f64,
-    /// Refill of the own bucket; absent while the demand is not shared out.
-    own_per_s: Option<f64>,
+    /// Refill of the own bucket, in requests a second.
+    own_per_s: f64,
     refilled: Instant,
     asked: u32,
     admitted: u32,
     demand_per_s: f64,
     admitted_per_s: f64,
+    /// Demand after each of the latest intervals, the oldest first.
+    past_demand: VecDeque<f64>,
 }
 
 impl Account {
@@ -76,13 +89,14 @@
             rate,
             others: Others::default(),
             fleet: rate.burst * FIRST_TOKENS,
-            own: LEAST_BURST,
-            own_per_s: None,
+            own: 1.0,
+            own_per_s: rate.per_s,
             refilled: now,
             asked: 0,
             admitted: 0,
             demand_per_s: 0.0,
             admitted_per_s: 0.0,
+            past_demand: VecDeque::new(),
         }
     }
 
@@ -92,7 +106,8 @@
         self.demand_per_s
     }
 
-    /// Returns the requests a second that were admitted here.
+    /// Returns the requests a second that were lately admitted here. They are not smoothed: what
+    /// others take from their buckets has to sum up to what was admitted.
     #[must_use]
     pub fn admitted_per_s(&self) -> f64 {
         self.admitted_per_s
@@ -102,8 +117,7 @@
     pub fn admit(&mut self, now: Instant) -> bool {
         self.asked += 1;
         self.refill(now);
-        let is_own_spent = self.own_per_s.is_some() && self.own < 1.0;
-        if self.fleet < 1.0 || is_own_spent {
+        if self.fleet < 1.0 || self.own < 1.0 {
             return false;
         }
         self.fleet -= 1.0;
@@ -115,8 +129,7 @@
     /// Returns the seconds until a request may be admitted.
     #[must_use]
     pub fn wait_s(&self) -> f64 {
-        let per_s = self.own_per_s.unwrap_or(self.rate.per_s).max(0.01);
-        let own = (1.0 - self.own).max(0.0) / per_s;
+        let own = (1.0 - self.own).max(0.0) / self.own_per_s.max(0.01);
         let fleet = (1.0 - self.fleet).max(0.0) / self.rate.per_s.max(0.01);
         own.max(fleet)
     }
@@ -130,21 +143,26 @@
             let demand = f64::from(std::mem::take(&mut self.asked)) / elapsed_s;
             let admitted = f64::from(std::mem::take(&mut self.admitted)) / elapsed_s;
             self.demand_per_s += LATEST * (demand - self.demand_per_s);
-            self.admitted_per_s += LATEST * (admitted - self.admitted_per_s);
+            self.admitted_per_s = admitted;
+            self.past_demand.push_back(self.demand_per_s);
+            if self.past_demand.len() > TOLD_AFTER {
+                self.past_demand.pop_front();
+            }
         }
         self.own_per_s = self.share_per_s();
     }
 
-    /// Returns this VM's part of the rate, or nothing while the demand fits.
-    fn share_per_s(&self) -> Option<f64> {
+    /// Returns this VM's part of the rate.
+    fn share_per_s(&self) -> f64 {
         let vms = self.others.vms.max(1) as f64;
         if self.others.heard <= 1 && self.others.vms > 1 {
-            return Some(self.rate.per_s / vms * STANDING);
+            return self.rate.per_s / vms * STANDING;
         }
-        let reachable = self.reachable_per_s();
-        let total = self.demand_per_s + self.others.demand;
-        let is_contended = total > reachable * CONTENDED;
-        is_contended.then(|| reachable * self.demand_per_s / total.max(0.1))
+        let expected = self.rate.per_s / vms * EXPECTED;
+        let heard = self.others.heard.max(1) as f64;
+        let own = self.past_demand.front().copied().unwrap_or_default();
+        let total = expected.mul_add(heard, own + self.others.demand);
+        self.reachable_per_s() * (own + expected) / total.max(f64::MIN_POSITIVE)
     }
 
     /// Returns the part of the rate that belongs to the VMs that are heard of.
@@ -161,8 +179,12 @@
         let net = reachable - self.others.admitted;
         let most = (self.rate.burst * part).max(1.0);
         self.fleet = net.mul_add(elapsed, self.fleet).clamp(-DEBT_S * self.rate.per_s, most);
-        let own_per_s = self.own_per_s.unwrap_or(self.rate.per_s);
-        let own_most = own_per_s.max(LEAST_BURST);
-        self.own = own_per_s.mul_add(elapsed, self.own).min(own_most);
+        let own_part = self.own_per_s / self.rate.per_s.max(0.01);
+        let even = self.rate.per_s / self.others.vms.max(1) as f64;
+        let least = (even * LEAST_BURST_S).clamp(LEAST_BURST.0, LEAST_BURST.1);
+        // While a debt is paid off, no VM saves up, or all would spend at once when it is paid.
+        let is_in_debt = self.fleet < 0.0;
+        let own_most = if is_in_debt { 1.0 } else { (self.rate.burst * own_part).max(least) };
+        self.own = self.own_per_s.mul_add(elapsed, self.own).min(own_most);
     }
 }
--- /dev/null
+++ b/crates/steer/tests/sums.rs
@@ -0,0 +1,122 @@
+//! Sums over the fleet that hold without asking anyone: repeats, cold servers, splits.
+
+use std::time::{Duration, Instant};
+
+use fleet::Target;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use steer::budget::{Bound, Budget};
+use steer::cold::{Cold, Vm, owner};
+use steer::place::hash;
+use steer::split::Split;
+
+fn fixed(cases: u32) -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(5),
+        ..Config::with_cases(cases)
+    }
+}
+
+const BOUND: Bound = Bound {
+    window: Duration::from_secs(10),
+    ratio: 0.2,
+    extra: 56.0,
+};
+
+proptest! {
+    #![proptest_config(fixed(2_000))]
+
+    #[test]
+    fn repeats_over_all_vms_stay_within_the_bound(
+        vms in 1..20_usize,
+        requests in 0..60_usize,
+        wanted in 0..200_usize,
+    ) {
+        let now = Instant::now();
+        let mut repeats = 0;
+        for _ in 0..vms {
+            let mut budget = Budget::new(BOUND);
+            for _ in 0..requests {
+                budget.note_request(now);
+            }
+            repeats += (0..wanted).filter(|_| budget.take(vms, now)).count();
+        }
+        let most = (requests * vms) as f64 * BOUND.ratio + BOUND.extra;
+        prop_assert!(repeats as f64 <= most, "{repeats} of {most}");
+    }
+
+    #[test]
+    fn a_cold_server_gets_less_than_its_bound_from_two_owners(
+        per_s in 5.0..60.0_f64,
+        asks in prop::collection::vec(0..40_u64, 1..200),
+    ) {
+        let bound = per_s * 1.5 + 5.0;
+        let begin = Instant::now();
+        let mut sent: Vec<Instant> = Vec::new();
+        for _ in 0..2 {
+            let mut cold = Cold::default();
+            cold.note_heartbeat(Duration::from_secs(60), begin);
+            let mut now = begin;
+            for gap in &asks {
+                now += Duration::from_millis(*gap);
+                if cold.allows(bound, now) {
+                    cold.note_sent(now);
+                    sent.push(now);
+                }
+            }
+        }
+        sent.sort_unstable();
+        for (index, first) in sent.iter().enumerate() {
+            let within = |at: &&Instant| at.duration_since(*first) < Duration::from_secs(1);
+            let count = sent[index..].iter().take_while(within).count();
+            prop_assert!(count as f64 <= bound.max(2.0), "{count} of {bound}");
+        }
+    }
+
+    #[test]
+    fn a_split_keeps_its_weights(weight in 1..99_u32, objects in 1..40_u64, seed: u64) {
+        let targets = [
+            Target { service: "a".to_owned(), weight: f64::from(weight) },
+            Target { service: "b".to_owned(), weight: f64::from(100 - weight) },
+        ];
+        let mut split = Split::default();
+        let first = (0..300_u64).filter(|turn| {
+            let object = hash(&(seed ^ (turn * 7 % objects)).to_le_bytes());
+            split.choose(&targets, object) == 0
+        });
+        let share = first.count() as f64 / 300.0;
+        prop_assert!((share - f64::from(weight) / 100.0).abs() < 0.08, "{share} of {weight}");
+    }
+}
+
+#[test]
+fn vms_that_know_the_same_vms_agree_on_a_cold_server_s_owner() {
+    let vms: Vec<Vm<'_>> = ["a", "b", "c"]
+        .map(|name| Vm {
+            name: hash(name.as_bytes()),
+            zone: name,
+            region: "r",
+        })
+        .to_vec();
+    let server = hash(b"server");
+    let chosen = owner(server, "b", "r", &vms);
+    assert_eq!(chosen, Some(hash(b"b")), "the owner is in the server's zone");
+    let reversed: Vec<Vm<'_>> = vms.iter().rev().copied().collect();
+    assert_eq!(owner(server, "b", "r", &reversed), chosen);
+    assert_ne!(owner(server, "x", "r", &vms), None);
+}
+
+/// Load pattern: a server that was lost comes back cold before its heartbeat says so.
+#[test]
+fn a_server_that_was_unreachable_counts_as_cold_until_a_later_heartbeat() {
+    let begin = Instant::now();
+    let after = |ms| begin + Duration::from_millis(ms);
+    let mut cold = Cold::default();
+    cold.suspect(begin);
+    cold.note_heartbeat(Duration::ZERO, after(300));
+    assert!(cold.is_cold(after(400)), "the heartbeat may be older than the failure");
+    cold.note_heartbeat(Duration::ZERO, after(1_500));
+    assert!(!cold.is_cold(after(1_600)));
+    cold.suspect(begin);
+    assert!(!cold.is_cold(after(6_001)), "suspicion ends by itself");
+}
