--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -44,7 +44,7 @@
             continue;
         };
         if open.get() >= most {
-            state.counts.note_turned_away();
+            state.metrics.note_turned_away();
             continue;
         }
         open.set(open.get() + 1);
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -65,7 +65,11 @@
             Self::OverRate(_) => 429,
             Self::HeadTooLarge => 431,
             Self::Lost => 502,
-            Self::Starting | Self::Leaving | Self::NoRoom(_) | Self::NoServer(_) | Self::Quarantined => 503,
+            Self::Starting
+            | Self::Leaving
+            | Self::NoRoom(_)
+            | Self::NoServer(_)
+            | Self::Quarantined => 503,
             Self::TimedOut => 504,
         }
     }
@@ -114,11 +118,17 @@
     #[must_use]
     pub fn own(status: u16, content_type: Option<&str>, body: Bytes) -> Self {
         let mut head = BytesMut::with_capacity(128);
-        push(&mut head, format_args!("HTTP/1.1 {status} {}\r\n", reason(status)));
+        push(
+            &mut head,
+            format_args!("HTTP/1.1 {status} {}\r\n", reason(status)),
+        );
         if let Some(content_type) = content_type {
             push(&mut head, format_args!("Content-Type: {content_type}\r\n"));
         }
-        push(&mut head, format_args!("Content-Length: {}\r\n", body.len()));
+        push(
+            &mut head,
+            format_args!("Content-Length: {}\r\n", body.len()),
+        );
         Self {
             head,
             body,
@@ -132,7 +142,10 @@
         let mut reply = Self::own(refusal.status(), None, Bytes::new());
         if let Some(after) = refusal.retry_after() {
             let after_s = after.as_secs_f64();
-            push(&mut reply.head, format_args!("Retry-After: {after_s:.3}\r\n"));
+            push(
+                &mut reply.head,
+                format_args!("Retry-After: {after_s:.3}\r\n"),
+            );
         }
         reply.closes = refusal.closes();
         reply
@@ -153,7 +166,10 @@
             }
         }
         if !keeps_length && answer.status != 204 {
-            push(&mut head, format_args!("Content-Length: {}\r\n", body.len()));
+            push(
+                &mut head,
+                format_args!("Content-Length: {}\r\n", body.len()),
+            );
         }
         Self {
             head,
@@ -191,14 +207,17 @@
     let own = [names.key, names.workspace, names.target, names.deadline];
     for (name, value) in end_to_end(&request.fields) {
         let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
-        if !own.iter().any(|own| is(own)) && !is(&"content-length") && !is(&"expect") {
+        if !own.iter().any(is) && !is(&"content-length") && !is(&"expect") {
             line(&mut head, name, value);
         }
     }
     push(&mut head, format_args!("{}: {left_ms}\r\n", names.deadline));
     push(&mut head, format_args!("{}: {target}\r\n", names.target));
     if let Some(workspace) = workspace {
-        push(&mut head, format_args!("{}: {workspace}\r\n", names.workspace));
+        push(
+            &mut head,
+            format_args!("{}: {workspace}\r\n", names.workspace),
+        );
     }
     if body_length > 0 || !matches!(&request.method[..], b"GET" | b"HEAD") {
         push(&mut head, format_args!("Content-Length: {body_length}\r\n"));
@@ -225,7 +244,7 @@
     };
     fields.iter().filter(move |(name, _)| {
         let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
-        !HOP_BY_HOP.iter().any(|hop| is(hop)) && !is(&"transfer-encoding") && !is_named(name)
+        !HOP_BY_HOP.iter().any(is) && !is(&"transfer-encoding") && !is_named(name)
     })
 }
 
--- /dev/null
+++ b/crates/entry/src/balance.rs
@@ -0,0 +1,218 @@
+//! Conclusions from what the other entry VMs tell: shares of rates, and objects that move away.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Instant;
+
+use fleet::Workspace;
+use fleet::report::{Asked, Report};
+use steer::place::Distance;
+use steer::quota::{Account, Others, Rate};
+use steer::real;
+use steer::spill::{Busy, Shares, Spill};
+
+use crate::peers;
+use crate::servers::Live;
+use crate::state::State;
+
+/// Busyness of a zone without backend servers, which all its work must leave.
+const NO_SLOTS_BUSY: f64 = 2.0;
+
+impl State {
+    /// Draws conclusions from what the other entry VMs told, `elapsed_s` seconds after the last
+    /// time.
+    pub fn tick(&self, elapsed_s: f64, now: Instant) {
+        self.expire(now);
+        let mut board = self.board.borrow_mut();
+        board.expire(now);
+        self.picture.replace(board.fleet(now));
+        drop(board);
+        self.quarantine.learn(&self.picture.borrow().crashes);
+        self.quarantine.expire();
+        self.rebalance(elapsed_s, now);
+        self.note_dropped_lines();
+        self.spill(elapsed_s, now);
+    }
+
+    /// Works out the shares of the workspaces' rates.
+    pub fn rebalance(&self, elapsed_s: f64, now: Instant) {
+        let Some(config) = self.config() else {
+            return;
+        };
+        let mut accounts = self.accounts.borrow_mut();
+        let mut seen = HashSet::new();
+        for workspace in config
+            .keys
+            .values()
+            .filter(|workspace| workspace.rate_per_s > 0.0)
+        {
+            if !seen.insert(workspace.name.as_str()) {
+                continue;
+            }
+            let rate = Rate {
+                per_s: workspace.rate_per_s,
+                burst: workspace.burst,
+            };
+            let others = self.others(workspace);
+            let account = accounts.entry(workspace.name.clone());
+            let account = account.or_insert_with(|| Account::new(rate, now));
+            account.rebalance(rate, others, elapsed_s, now);
+        }
+        accounts.retain(|name, _| seen.contains(name.as_str()));
+    }
+
+    /// Returns what the other entry VMs tell of `workspace`.
+    fn others(&self, workspace: &Workspace) -> Others {
+        let number = peers::number(&workspace.name);
+        let board = self.board.borrow();
+        let picture = self.picture.borrow();
+        let all = picture.asked(number);
+        let own = board.told().asked(number);
+        let without_own = |of: fn(&Asked) -> f32| {
+            let all = all.map_or(0.0, |asked| f64::from(of(asked)));
+            (all - own.map_or(0.0, |asked| f64::from(of(asked)))).max(0.0)
+        };
+        Others {
+            demand: without_own(|asked| asked.demand),
+            admitted: without_own(|asked| asked.admitted),
+            vms: board.count().max(picture.vms.len()),
+            heard: picture.vms.len().max(1),
+        }
+    }
+
+    /// Works out which objects begin away from this zone.
+    fn spill(&self, elapsed_s: f64, now: Instant) {
+        let servers = self.servers.borrow();
+        let picture = self.picture.borrow();
+        for service in servers.services() {
+            self.note_busy(service, servers.of(service), now);
+            let busy = self.busy_around(service, &picture, servers.of(service));
+            let mut spills = self.spills.borrow_mut();
+            let spill = spills.entry(service.clone()).or_default();
+            if !self.budgets.borrow().contains_key(service) {
+                *spill = self.prior(&picture, servers.of(service));
+            }
+            let zone = picture.load(peers::number(service), peers::number(&self.settings.zone));
+            let told = zone.map(|load| Spill {
+                zone: f64::from(load.spill_zone),
+                region: f64::from(load.spill_region),
+            });
+            *spill = spill.after(busy, elapsed_s).mean(told.as_slice());
+        }
+    }
+
+    /// Returns the objects that begin away from this zone before any request was seen.
+    fn prior(&self, picture: &Report, servers: &[Rc<Live>]) -> Spill {
+        let board = self.board.borrow();
+        let mut zones: Vec<&str> = board
+            .ready(picture)
+            .iter()
+            .map(|(_, peer)| peer.zone.as_str())
+            .collect();
+        zones.push(&self.settings.zone);
+        let in_region = |zone: &&&str| self.region_of(zone) == self.settings.region;
+        let in_zone = |zone: &&&str| **zone == self.settings.zone;
+        let share = |count: usize| real(count) / real(zones.len());
+        let slots = |most: Distance| -> f64 {
+            let near = servers.iter().filter(|live| live.distance <= most);
+            near.map(|live| f64::from(live.slots.get())).sum()
+        };
+        let all = slots(Distance::Far).max(1.0);
+        Spill::prior(Shares {
+            zone_slots: slots(Distance::Zone) / all,
+            region_slots: slots(Distance::Region) / all,
+            zone_callers: share(zones.iter().filter(in_zone).count()),
+            region_callers: share(zones.iter().filter(in_region).count()),
+        })
+    }
+
+    fn note_busy(&self, service: &str, servers: &[Rc<Live>], now: Instant) {
+        let own = servers
+            .iter()
+            .filter(|live| live.distance == Distance::Zone && live.ready.get());
+        let (load, slots) = own.fold((0.0, 0.0), |(load, slots), live| {
+            (load + live.load(now), slots + f64::from(live.slots.get()))
+        });
+        let seen = if slots > 0.0 {
+            load / slots
+        } else {
+            NO_SLOTS_BUSY
+        };
+        let mut busy = self.busy.borrow_mut();
+        let smooth = busy.entry(service.to_owned()).or_insert(seen);
+        *smooth = f64::midpoint(*smooth, seen);
+    }
+
+    fn busy_around(&self, service: &str, picture: &Report, servers: &[Rc<Live>]) -> Busy {
+        let number = peers::number(service);
+        let of = |wanted: Distance| {
+            let mut load = 0.0;
+            let mut slots = 0.0;
+            for live in servers
+                .iter()
+                .filter(|live| live.distance == wanted && live.ready.get())
+            {
+                let told = picture.load(number, peers::number(&live.zone));
+                let busy = told.map_or(0.0, |load| f64::from(load.busy));
+                load += busy * f64::from(live.slots.get());
+                slots += f64::from(live.slots.get());
+            }
+            (slots > 0.0).then(|| load / slots)
+        };
+        let busy = self.busy.borrow();
+        Busy {
+            zone: busy.get(service).copied().unwrap_or_default(),
+            region: of(Distance::Region),
+            far: of(Distance::Far),
+        }
+    }
+
+    /// Logs that lines were left out, once for each new count.
+    fn note_dropped_lines(&self) {
+        let lines = event::dropped();
+        if self.dropped_lines.replace(lines) < lines {
+            event::emit(&event::Event::LinesDropped { lines });
+        }
+    }
+
+    /// Sets the metrics that are values of now.
+    pub fn set_gauges(&self) {
+        let gauges = self.metrics.gauges();
+        gauges.in_flight.set(whole(self.in_flight()));
+        gauges.version.set(whole(self.version().0));
+        gauges.lines_dropped.set(whole(event::dropped()));
+        gauges
+            .vms
+            .set(whole(self.picture.borrow().vms.len() as u64));
+        let age = self
+            .read_at()
+            .map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64());
+        gauges.store_age.set(age);
+        let servers = self.servers.borrow();
+        for service in servers.services() {
+            let ready = servers.of(service).iter().filter(|live| live.ready.get());
+            gauges
+                .servers
+                .with_label_values(&[service])
+                .set(real(ready.count()));
+        }
+        for (service, busy) in &*self.busy.borrow() {
+            gauges.busy.with_label_values(&[service]).set(*busy);
+        }
+        for (service, spill) in &*self.spills.borrow() {
+            gauges
+                .spill
+                .with_label_values(&[service, "zone"])
+                .set(spill.zone);
+            gauges
+                .spill
+                .with_label_values(&[service, "region"])
+                .set(spill.region);
+        }
+    }
+}
+
+/// Returns a count in the type of the metrics.
+fn whole(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -128,7 +128,9 @@
     }
 
     fn copy(&mut self, buffer: &mut BytesMut, left: u64, rest: fn(u64) -> Position) -> Position {
-        let length = usize::try_from(left).unwrap_or(usize::MAX).min(buffer.len());
+        let length = usize::try_from(left)
+            .unwrap_or(usize::MAX)
+            .min(buffer.len());
         self.body.extend_from_slice(&buffer[..length]);
         buffer.advance(length);
         let left = left - length as u64;
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -49,6 +49,8 @@
     Ready,
     /// Other entry VMs' requests for state.
     State,
+    /// Metrics.
+    Metrics,
 }
 
 /// A request that has arrived whole.
@@ -64,8 +66,8 @@
 
 /// Serves a connection until either side ends it.
 pub async fn serve(state: Rc<State>, mut stream: TcpStream, role: Role) {
-    if let Err(error) = stream.set_nodelay(true) {
-        state.counts.note_socket_error(&error);
+    if stream.set_nodelay(true).is_err() {
+        state.metrics.note_socket_error();
     }
     let (mut reader, mut writer) = stream.split();
     let mut inbound = Inbound::new(state.limits());
@@ -85,10 +87,9 @@
                 }
             }
         }
-        if inbound.wants_continue() && replies.is_empty() {
-            if !write(&mut writer, Bytes::from_static(CONTINUE), Bytes::new()).await {
-                return;
-            }
+        let is_asked = replies.is_empty() && inbound.wants_continue();
+        if is_asked && !write(&mut writer, Bytes::from_static(CONTINUE), Bytes::new()).await {
+            return;
         }
         let is_idle = replies.is_empty();
         let limit = inbound.limit(is_idle);
@@ -134,6 +135,7 @@
         Role::Lookups => lookup::answer(&state, &incoming.head),
         Role::Ready => lookup::readiness(&state, &incoming.head),
         Role::State => neighbour::answer(&state, &incoming.head),
+        Role::Metrics => lookup::metrics(&state, &incoming.head),
     }
 }
 
--- a/crates/entry/src/copy.rs
+++ b/crates/entry/src/copy.rs
@@ -54,7 +54,10 @@
             return None;
         }
         let removed = self.removed.iter().filter(|raw| raw.revision > revision);
-        let keys = self.keys.values().filter(|(_, changed)| *changed > revision);
+        let keys = self
+            .keys
+            .values()
+            .filter(|(_, changed)| *changed > revision);
         let keys = keys.map(|(raw, _)| raw);
         Some(removed.chain(keys).cloned().collect())
     }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -40,11 +40,7 @@
     LocalSet::new().block_on(&runtime, serve(settings, names, store))
 }
 
-async fn serve<S: Store + 'static>(
-    settings: Settings,
-    names: Names,
-    store: S,
-) -> eyre::Result<()> {
+async fn serve<S: Store + 'static>(settings: Settings, names: Names, store: S) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let listen = settings.listen.clone();
@@ -57,6 +53,7 @@
     start(&state, listen.ready, Role::Ready)?;
     start(&state, listen.lookups, Role::Lookups)?;
     start(&state, listen.state, Role::State)?;
+    start(&state, listen.metrics, Role::Metrics)?;
     let (reader, announcer) = (store.another(), store);
     spawn_local(sync::run(Rc::clone(&state), reader));
     spawn_local(sync::announce(Rc::clone(&state), announcer));
--- /dev/null
+++ b/crates/entry/src/job.rs
@@ -0,0 +1,299 @@
+//! Sending a request to backend servers until one answers.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use event::Event;
+use fleet::config::may_run_in;
+use fleet::{Config, Kind, Route, Workspace};
+use killer::Fingerprint;
+use rand::Rng as _;
+use steer::place::{self, Candidate};
+
+use crate::answer::{Refusal, forwarded};
+use crate::caller::Incoming;
+use crate::quarantine;
+use crate::servers::Live;
+use crate::state::State;
+use crate::trail::attempt_of;
+use crate::upstream::{self, Answered, Outcome, Outgoing};
+
+/// Most servers that are tried without a byte sent.
+const MAX_UNREACHED: u32 = 3;
+
+/// Shortest time after which a refused caller may come again.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// Longest time added to it, so that callers do not come back together.
+const RETRY_SPREAD: Duration = Duration::from_millis(200);
+
+/// Returns a random part of the time that callers' returns are spread over.
+#[must_use]
+pub fn spread() -> Duration {
+    RETRY_SPREAD.mul_f64(rand::rng().random())
+}
+
+/// Returns when a caller that found no room may come again.
+fn retry_after() -> Duration {
+    RETRY_AFTER + spread()
+}
+
+/// Returns the hash of what a request asks for.
+#[must_use]
+pub fn fingerprint(incoming: &Incoming, workspace: Option<&Workspace>) -> Fingerprint {
+    let workspace = workspace.map_or("", |workspace| &workspace.name);
+    let method = String::from_utf8_lossy(&incoming.head.method);
+    let target = String::from_utf8_lossy(&incoming.head.target);
+    Fingerprint::new(workspace, &method, &target, &incoming.body)
+}
+
+/// A request with all that was decided about it.
+#[derive(Debug)]
+pub struct Job<'a> {
+    /// State of the daemon.
+    pub state: &'a Rc<State>,
+    /// Configuration under which the request was taken.
+    pub config: Rc<Config>,
+    /// Its route.
+    pub route: &'a Route,
+    /// Its workspace; absent on open routes.
+    pub workspace: Option<&'a Workspace>,
+    /// Name of the service that answers.
+    pub service: &'a str,
+    /// The request.
+    pub incoming: &'a Incoming,
+    /// Hash of the object that it is about.
+    pub object: u64,
+    /// Until when it is worked on.
+    pub deadline: Instant,
+    /// What was tried.
+    pub tries: Tries,
+}
+
+/// What was tried for a request.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Servers that were tried, the last one last.
+    pub servers: Vec<Rc<Live>>,
+    /// Requests that left for a server.
+    pub sent: u32,
+    /// Connections that could not be made.
+    unreached: u32,
+    /// Whether one of them may have run and its answer is lost.
+    may_have_run: bool,
+}
+
+/// What follows a try.
+enum Step {
+    Done(Answered),
+    Again,
+}
+
+impl Job<'_> {
+    /// Sends the request until a server answers or nothing more can be tried.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is no answer.
+    pub async fn run(&mut self) -> Result<Answered, Refusal> {
+        loop {
+            let live = self.choose()?;
+            if let Step::Done(answered) = self.attempt(&live).await? {
+                return Ok(answered);
+            }
+        }
+    }
+
+    /// Chooses the next server.
+    fn choose(&self) -> Result<Rc<Live>, Refusal> {
+        let now = Instant::now();
+        let servers = self.state.servers.borrow();
+        let is_eligible = |live: &&Rc<Live>| self.is_eligible(live, now);
+        let eligible: Vec<&Rc<Live>> = servers
+            .of(self.service)
+            .iter()
+            .filter(is_eligible)
+            .collect();
+        if eligible.is_empty() {
+            return Err(self.truth(Refusal::NoServer(retry_after())));
+        }
+        let candidate = |live: &&Rc<Live>| Candidate {
+            server: live.hash,
+            distance: live.distance,
+            load: live.load(now),
+            slots: f64::from(live.slots.get()),
+        };
+        let candidates: Vec<Candidate> = eligible.iter().map(candidate).collect();
+        let spills = self.state.spills.borrow();
+        let spill = spills.get(self.service).copied().unwrap_or_default();
+        let chosen = place::choose(&candidates, self.object, spill);
+        let full = || self.truth(Refusal::NoRoom(retry_after()));
+        let chosen = chosen.ok_or_else(full)?;
+        Ok(Rc::clone(eligible[chosen]))
+    }
+
+    fn is_eligible(&self, live: &Rc<Live>, now: Instant) -> bool {
+        let workspace_homes = self.workspace.map_or(&[][..], |workspace| &workspace.homes);
+        live.is_usable(now)
+            && !self
+                .tries
+                .servers
+                .iter()
+                .any(|tried| Rc::ptr_eq(tried, live))
+            && !self.state.is_evacuated(&live.zone)
+            && may_run_in(&live.region, &self.route.homes, workspace_homes)
+            && self.may_warm(live, now)
+    }
+
+    /// Returns whether a cold server may get the request.
+    fn may_warm(&self, live: &Live, now: Instant) -> bool {
+        let mut cold = live.cold.borrow_mut();
+        if !cold.is_cold(now) {
+            return true;
+        }
+        let bounds = &self.state.settings.bounds;
+        let service = self.config.services.get(self.service);
+        let per_s = service.map_or(1.0, |service| service.warmup_per_s);
+        let bound = per_s.mul_add(bounds.cold_factor, bounds.cold_extra);
+        cold.allows(bound, now) && self.state.owns(live)
+    }
+
+    async fn attempt(&mut self, live: &Rc<Live>) -> Result<Step, Refusal> {
+        let now = Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
+        if left.is_zero() {
+            return Err(self.truth_of_timeout());
+        }
+        if self.tries.sent > 0 && !self.state.take_repeat(self.service) {
+            return Err(self.truth(Refusal::NoRoom(retry_after())));
+        }
+        let request = self.outgoing(live, left);
+        let ticket = live.ticket(now);
+        self.tries.servers.push(Rc::clone(live));
+        let outcome = upstream::send(live, &request, &self.state.names, self.deadline).await;
+        if let Outcome::Answered(answered) = &outcome {
+            self.note_answer(live, answered);
+        }
+        drop(ticket);
+        self.state
+            .metrics
+            .note_exchange(self.service, now.elapsed());
+        self.judge(live, outcome)
+    }
+
+    fn outgoing(&self, live: &Live, left: Duration) -> Outgoing {
+        let head = &self.incoming.head;
+        let names = &self.state.names;
+        let workspace = self.workspace.map(|workspace| workspace.name.as_str());
+        let length = self.incoming.body.len();
+        let attempt = head.fields.get(names.attempt).unwrap_or_default();
+        Outgoing {
+            head: forwarded(head, names, length, left.as_millis(), &live.id, workspace),
+            body: self.incoming.body.clone(),
+            attempt: Bytes::copy_from_slice(attempt),
+            is_head: &head.method[..] == b"HEAD",
+        }
+    }
+
+    fn note_answer(&self, live: &Live, answered: &Answered) {
+        live.note_answer();
+        if !self.state.quarantine.is_empty() {
+            let fingerprint = fingerprint(self.incoming, self.workspace);
+            self.state.quarantine.note_answer(fingerprint, live.addr);
+        }
+        let told = answered.head.fields.text(self.state.names.load);
+        let mut told = told
+            .unwrap_or_default()
+            .split(',')
+            .map(|part| part.trim().parse());
+        if let (Some(Ok(running)), Some(Ok(waiting))) = (told.next(), told.next()) {
+            live.note_load(running, waiting, Instant::now());
+        }
+    }
+
+    /// Decides what follows `outcome`.
+    fn judge(&mut self, live: &Rc<Live>, outcome: Outcome) -> Result<Step, Refusal> {
+        let may_repeat = self.route.kind == Kind::Idempotent;
+        match outcome {
+            Outcome::Answered(answered) => {
+                self.tries.sent += 1;
+                let is_last = self.tries.sent >= self.route.max_attempts;
+                if self.was_not_run(&answered) {
+                    if is_last {
+                        return Err(self.truth(Refusal::NoRoom(retry_after())));
+                    }
+                    return Ok(Step::Again);
+                }
+                let failed = answered.head.status >= 500;
+                if failed && may_repeat && !is_last && self.is_worth_another() {
+                    self.tries.may_have_run = true;
+                    return Ok(Step::Again);
+                }
+                Ok(Step::Done(answered))
+            }
+            Outcome::Unreached(problem) => {
+                self.note_failure(live, &problem);
+                self.tries.unreached += 1;
+                if self.tries.unreached >= MAX_UNREACHED {
+                    return Err(self.truth(Refusal::NoServer(retry_after())));
+                }
+                Ok(Step::Again)
+            }
+            Outcome::Broken(problem) => {
+                self.tries.sent += 1;
+                self.tries.may_have_run = true;
+                self.note_failure(live, &problem);
+                quarantine::look(self.state, live, fingerprint(self.incoming, self.workspace));
+                if may_repeat
+                    && self.tries.sent < self.route.max_attempts
+                    && self.is_worth_another()
+                {
+                    return Ok(Step::Again);
+                }
+                Err(Refusal::Lost)
+            }
+            Outcome::TimedOut => {
+                self.tries.sent += 1;
+                self.tries.may_have_run = true;
+                Err(Refusal::TimedOut)
+            }
+        }
+    }
+
+    fn was_not_run(&self, answered: &Answered) -> bool {
+        let fields = &answered.head.fields;
+        answered.head.status == 421 || fields.get(self.state.names.not_run).is_some()
+    }
+
+    /// Returns whether another server could still answer in time.
+    fn is_worth_another(&self) -> bool {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left >= self.route.target_latency / 2
+    }
+
+    fn note_failure(&self, live: &Live, problem: &str) {
+        live.note_unreached(Instant::now());
+        event::emit(&Event::BackendFailed {
+            request: attempt_of(self.state, &self.incoming.head),
+            service: self.service.to_owned(),
+            backend: live.addr,
+            error: problem.to_owned(),
+        });
+    }
+
+    /// Returns `refusal`, or one that does not say that the request has not run if it may have.
+    fn truth(&self, refusal: Refusal) -> Refusal {
+        if self.tries.may_have_run {
+            return Refusal::Lost;
+        }
+        refusal
+    }
+
+    fn truth_of_timeout(&self) -> Refusal {
+        if self.tries.may_have_run {
+            return Refusal::TimedOut;
+        }
+        Refusal::NoRoom(RETRY_AFTER)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,23 +5,27 @@
 
 mod accept;
 mod answer;
+mod balance;
 mod body;
 mod caller;
 mod copy;
-mod counts;
 mod daemon;
 mod head;
+mod job;
 mod lookup;
+pub mod metrics;
 mod names;
 mod neighbour;
 mod peers;
 mod quarantine;
+mod register;
 mod serve;
 mod servers;
 mod settings;
 mod state;
 mod store;
 mod sync;
+mod trail;
 mod upstream;
 
 pub use daemon::run;
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -25,7 +25,12 @@
     if addrs.is_empty() {
         return Reply::refused(Refusal::Starting);
     }
-    let ttl_ms = state.settings.bounds.lookup_ttl.as_millis().min(u128::from(TTL_MS));
+    let ttl_ms = state
+        .settings
+        .bounds
+        .lookup_ttl
+        .as_millis()
+        .min(u128::from(TTL_MS));
     let ttl_ms = u64::try_from(ttl_ms).unwrap_or(TTL_MS);
     let body = (state.names.lookup_answer)(&addrs, ttl_ms);
     Reply::own(200, Some("application/json"), Bytes::from(body))
@@ -44,6 +49,20 @@
     Reply::own(200, None, Bytes::new())
 }
 
+/// Answers with the metrics.
+#[must_use]
+pub fn metrics(state: &State, head: &Request) -> Reply {
+    if &head.target[..] != b"/metrics" {
+        return Reply::refused(Refusal::NoRoute);
+    }
+    state.set_gauges();
+    Reply::own(
+        200,
+        Some("text/plain; version=0.0.4"),
+        Bytes::from(state.metrics.render()),
+    )
+}
+
 /// Returns the addresses of the ready entry VMs in `zone`, else in `region`, else of all.
 fn addresses(state: &State, zone: &str, region: &str) -> Vec<SocketAddr> {
     let mut ready = state.ready_peers();
@@ -54,7 +73,11 @@
     let in_region = |entry: &&(String, SocketAddr)| state.region_of(&entry.0) == region;
     let mut chosen: Vec<SocketAddr> = ready.iter().filter(in_zone).map(|entry| entry.1).collect();
     if chosen.is_empty() {
-        chosen = ready.iter().filter(in_region).map(|entry| entry.1).collect();
+        chosen = ready
+            .iter()
+            .filter(in_region)
+            .map(|entry| entry.1)
+            .collect();
     }
     if chosen.is_empty() {
         chosen = ready.iter().map(|entry| entry.1).collect();
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,334 @@
+//! Metrics of the daemon, in the text format of Prometheus.
+
+use std::time::Duration;
+
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
+};
+
+/// Bounds of the latency buckets, in seconds.
+const BUCKETS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+
+/// A metric's entry in the catalogue.
+#[derive(Debug, Clone, Copy)]
+pub struct Entry {
+    /// Name.
+    pub name: &'static str,
+    /// Kind.
+    pub kind: &'static str,
+    /// Labels.
+    pub labels: &'static [&'static str],
+    /// What it says.
+    pub help: &'static str,
+}
+
+/// All metrics.
+pub const CATALOGUE: &[Entry] = &[
+    REQUESTS,
+    SECONDS,
+    BACKEND_SECONDS,
+    IN_FLIGHT,
+    TURNED_AWAY,
+    BAD_MESSAGES,
+    SOCKET_ERRORS,
+    STORE_CALLS,
+    STORE_AGE,
+    VERSION,
+    SERVERS,
+    BUSY,
+    SPILL,
+    VMS,
+    LINES_DROPPED,
+];
+
+const fn entry(
+    name: &'static str,
+    kind: &'static str,
+    labels: &'static [&'static str],
+    help: &'static str,
+) -> Entry {
+    Entry {
+        name,
+        kind,
+        labels,
+        help,
+    }
+}
+
+const REQUESTS: Entry = entry(
+    "teaseldoor_requests_total",
+    "counter",
+    &["service", "outcome"],
+    "Requests that ended, by the reason of their answer.",
+);
+const SECONDS: Entry = entry(
+    "teaseldoor_request_seconds",
+    "histogram",
+    &["service"],
+    "Time from a whole request head to the answer.",
+);
+const BACKEND_SECONDS: Entry = entry(
+    "teaseldoor_backend_seconds",
+    "histogram",
+    &["service"],
+    "Time of one exchange with a backend server.",
+);
+const IN_FLIGHT: Entry = entry("teaseldoor_in_flight", "gauge", &[], "Requests in flight.");
+const TURNED_AWAY: Entry = entry(
+    "teaseldoor_connections_turned_away_total",
+    "counter",
+    &[],
+    "Callers' connections closed since too many were open.",
+);
+const BAD_MESSAGES: Entry = entry(
+    "teaseldoor_bad_messages_total",
+    "counter",
+    &[],
+    "Messages between entry VMs that could not be read or written.",
+);
+const SOCKET_ERRORS: Entry = entry(
+    "teaseldoor_socket_errors_total",
+    "counter",
+    &[],
+    "Socket options that could not be set.",
+);
+const STORE_CALLS: Entry = entry(
+    "teaseldoor_store_calls_total",
+    "counter",
+    &["purpose", "outcome"],
+    "Calls to the platform's store.",
+);
+const STORE_AGE: Entry = entry(
+    "teaseldoor_state_age_seconds",
+    "gauge",
+    &[],
+    "Age of what is known of configuration and backend servers.",
+);
+const VERSION: Entry = entry(
+    "teaseldoor_config_version",
+    "gauge",
+    &[],
+    "Version of the configuration in force.",
+);
+const SERVERS: Entry = entry(
+    "teaseldoor_backend_servers",
+    "gauge",
+    &["service"],
+    "Backend servers that take new work.",
+);
+const BUSY: Entry = entry(
+    "teaseldoor_zone_busy_ratio",
+    "gauge",
+    &["service"],
+    "Requests for each slot of the zone's backend servers.",
+);
+const SPILL: Entry = entry(
+    "teaseldoor_spill_ratio",
+    "gauge",
+    &["service", "to"],
+    "Part of the objects that begin away from the zone.",
+);
+const VMS: Entry = entry(
+    "teaseldoor_entry_vms",
+    "gauge",
+    &[],
+    "Entry VMs that are heard of, this one included.",
+);
+const LINES_DROPPED: Entry = entry(
+    "teaseldoor_log_lines_dropped",
+    "gauge",
+    &[],
+    "Log lines left out since the process started.",
+);
+
+/// Metrics of the daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    seconds: HistogramVec,
+    backend_seconds: HistogramVec,
+    store_calls: IntCounterVec,
+    turned_away: IntCounter,
+    bad_messages: IntCounter,
+    socket_errors: IntCounter,
+    gauges: Gauges,
+}
+
+/// Values that are set when the metrics are asked for.
+#[derive(Debug)]
+pub struct Gauges {
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Age of the state, in seconds.
+    pub store_age: Gauge,
+    /// Version of the configuration.
+    pub version: IntGauge,
+    /// Backend servers by service.
+    pub servers: GaugeVec,
+    /// Busyness by service.
+    pub busy: GaugeVec,
+    /// Objects that begin elsewhere, by service and place.
+    pub spill: GaugeVec,
+    /// Entry VMs.
+    pub vms: IntGauge,
+    /// Dropped log lines.
+    pub lines_dropped: IntGauge,
+}
+
+impl Default for Metrics {
+    /// Creates metrics that count from zero.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the catalogue names a metric twice.
+    fn default() -> Self {
+        let registry = Registry::new();
+        let metrics = |metric: Box<dyn Collector>| {
+            registry
+                .register(metric)
+                .expect("the catalogue names each metric once");
+        };
+        let requests = counters(&REQUESTS);
+        let seconds = histograms(&SECONDS);
+        let backend_seconds = histograms(&BACKEND_SECONDS);
+        let store_calls = counters(&STORE_CALLS);
+        let turned_away = counter(&TURNED_AWAY);
+        let bad_messages = counter(&BAD_MESSAGES);
+        let socket_errors = counter(&SOCKET_ERRORS);
+        let gauges = Gauges {
+            in_flight: whole_gauge(&IN_FLIGHT),
+            store_age: gauge(&STORE_AGE),
+            version: whole_gauge(&VERSION),
+            servers: gauges(&SERVERS),
+            busy: gauges(&BUSY),
+            spill: gauges(&SPILL),
+            vms: whole_gauge(&VMS),
+            lines_dropped: whole_gauge(&LINES_DROPPED),
+        };
+        metrics(Box::new(requests.clone()));
+        metrics(Box::new(seconds.clone()));
+        metrics(Box::new(backend_seconds.clone()));
+        metrics(Box::new(store_calls.clone()));
+        metrics(Box::new(turned_away.clone()));
+        metrics(Box::new(bad_messages.clone()));
+        metrics(Box::new(socket_errors.clone()));
+        metrics(Box::new(gauges.in_flight.clone()));
+        metrics(Box::new(gauges.store_age.clone()));
+        metrics(Box::new(gauges.version.clone()));
+        metrics(Box::new(gauges.servers.clone()));
+        metrics(Box::new(gauges.busy.clone()));
+        metrics(Box::new(gauges.spill.clone()));
+        metrics(Box::new(gauges.vms.clone()));
+        metrics(Box::new(gauges.lines_dropped.clone()));
+        Self {
+            registry,
+            requests,
+            seconds,
+            backend_seconds,
+            store_calls,
+            turned_away,
+            bad_messages,
+            socket_errors,
+            gauges,
+        }
+    }
+}
+
+const VALID: &str = "the catalogue's names and labels are valid";
+
+fn counters(entry: &Entry) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(entry.name, entry.help), entry.labels).expect(VALID)
+}
+
+fn counter(entry: &Entry) -> IntCounter {
+    IntCounter::new(entry.name, entry.help).expect(VALID)
+}
+
+fn histograms(entry: &Entry) -> HistogramVec {
+    let options = HistogramOpts::new(entry.name, entry.help).buckets(BUCKETS.to_vec());
+    HistogramVec::new(options, entry.labels).expect(VALID)
+}
+
+fn gauge(entry: &Entry) -> Gauge {
+    Gauge::new(entry.name, entry.help).expect(VALID)
+}
+
+fn whole_gauge(entry: &Entry) -> IntGauge {
+    IntGauge::new(entry.name, entry.help).expect(VALID)
+}
+
+fn gauges(entry: &Entry) -> GaugeVec {
+    GaugeVec::new(Opts::new(entry.name, entry.help), entry.labels).expect(VALID)
+}
+
+impl Metrics {
+    /// Counts a request for `service` that ended with `outcome` after `took`.
+    pub fn note_request(&self, service: &str, outcome: &str, took: Duration) {
+        self.requests.with_label_values(&[service, outcome]).inc();
+        self.seconds
+            .with_label_values(&[service])
+            .observe(took.as_secs_f64());
+    }
+
+    /// Counts an exchange with a backend server of `service`.
+    pub fn note_exchange(&self, service: &str, took: Duration) {
+        let histogram = self.backend_seconds.with_label_values(&[service]);
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// Counts a call to the store.
+    pub fn note_store_call(&self, purpose: &str, is_answered: bool) {
+        let outcome = if is_answered { "answered" } else { "failed" };
+        self.store_calls
+            .with_label_values(&[purpose, outcome])
+            .inc();
+    }
+
+    /// Counts a connection that was closed since too many were open.
+    pub fn note_turned_away(&self) {
+        self.turned_away.inc();
+    }
+
+    /// Counts a message between entry VMs that could not be read or written.
+    pub fn note_bad_message(&self) {
+        self.bad_messages.inc();
+    }
+
+    /// Counts a socket option that could not be set; the connection is used all the same.
+    pub fn note_socket_error(&self) {
+        self.socket_errors.inc();
+    }
+
+    /// Returns the values that are set when the metrics are asked for.
+    #[must_use]
+    pub fn gauges(&self) -> &Gauges {
+        &self.gauges
+    }
+
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            text = format!("# metrics cannot be rendered: {error}\n").into_bytes();
+        }
+        text
+    }
+}
+
+/// Returns the catalogue as a table.
+#[must_use]
+pub fn page() -> String {
+    let line = |entry: &Entry| {
+        let labels = entry.labels.join(", ");
+        format!(
+            "| `{}` | {} | {labels} | {} |\n",
+            entry.name, entry.kind, entry.help
+        )
+    };
+    let lines: String = CATALOGUE.iter().map(line).collect();
+    format!("| metric | kind | labels | meaning |\n|---|---|---|---|\n{lines}")
+}
--- a/crates/entry/src/neighbour.rs
+++ b/crates/entry/src/neighbour.rs
@@ -44,7 +44,10 @@
 #[must_use]
 pub fn answer(state: &State, head: &Request) -> Reply {
     let target = std::str::from_utf8(&head.target).unwrap_or_default();
-    let Some(after) = target.strip_prefix(PATH).and_then(|after| after.parse().ok()) else {
+    let Some(after) = target
+        .strip_prefix(PATH)
+        .and_then(|after| after.parse().ok())
+    else {
         return Reply::refused(Refusal::NoRoute);
     };
     let Some(read_at) = state.read_at() else {
@@ -65,7 +68,9 @@
     let now = Instant::now();
     let changes = state.copy().changes(after);
     let is_whole = changes.is_none();
-    let rejoin = state.rejoin_until().map(|until| until.saturating_duration_since(now));
+    let rejoin = state
+        .rejoin_until()
+        .map(|until| until.saturating_duration_since(now));
     Snapshot {
         revision: state.revision(),
         items: changes.unwrap_or_else(|| state.copy().all()),
@@ -105,7 +110,8 @@
             body = collector(&mut buffer)?;
         }
         if let Some(body) = &mut body {
-            body.take(&mut buffer).map_err(|_| "unusable body".to_owned())?;
+            body.take(&mut buffer)
+                .map_err(|_| "unusable body".to_owned())?;
         }
         if let Some(body) = body.take_if(|body| body.is_whole()) {
             let snapshot = postcard::from_bytes(&body.into_body());
@@ -122,7 +128,9 @@
     if head.status != 200 {
         return Err(format!("status {}", head.status));
     }
-    let framing = head.framing(false).map_err(|_| "ambiguous framing".to_owned())?;
+    let framing = head
+        .framing(false)
+        .map_err(|_| "ambiguous framing".to_owned())?;
     let collector = Collector::new(framing, MAX_BYTES);
     collector.map(Some).map_err(|_| "too large".to_owned())
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use fleet::board::{Announcement, Asked, Board, Load, Message, Report, Seen};
+use fleet::Board;
+use fleet::report::{Announcement, Asked, Load, Message, Report, Seen};
 use steer::place::hash;
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
@@ -71,7 +72,7 @@
                 let Ok((length, _)) = received else { continue };
                 match postcard::from_bytes::<Message>(&buffer[..length]) {
                     Ok(message) => state.board.borrow_mut().take(message, Instant::now()),
-                    Err(_) => state.counts.note_bad_message(),
+                    Err(_) => state.metrics.note_bad_message(),
                 }
             }
             _ = ticks.tick() => {
@@ -89,7 +90,7 @@
     let messages = state.board.borrow_mut().messages(report, now);
     for (target, message) in messages {
         let Ok(bytes) = postcard::to_stdvec(&message) else {
-            state.counts.note_bad_message();
+            state.metrics.note_bad_message();
             continue;
         };
         // A lost message is made good by the next one.
@@ -113,7 +114,9 @@
 
 fn asked(state: &State) -> Vec<Asked> {
     let accounts = state.accounts.borrow();
-    let asking = accounts.iter().filter(|(_, account)| account.demand_per_s() > LEAST_TOLD);
+    let asking = accounts
+        .iter()
+        .filter(|(_, account)| account.demand_per_s() > LEAST_TOLD);
     let asked = asking.map(|(workspace, account)| Asked {
         workspace: number(workspace),
         demand: short(account.demand_per_s()),
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use event::Event;
-use fleet::board::Crash;
+use fleet::report::Crash;
 use killer::{Ending, Evidence, Fact, Fingerprint, Watch};
 use timer::Service;
 use tokio::net::TcpStream;
@@ -70,7 +70,9 @@
 
     fn note(&self, fingerprint: Fingerprint, server: SocketAddr, ending: Ending) {
         let now = self.timer.now();
-        self.watch.borrow_mut().note(fingerprint, (server, ""), ending, now);
+        self.watch
+            .borrow_mut()
+            .note(fingerprint, (server, ""), ending, now);
     }
 
     /// Takes crashes that other entry VMs tell.
@@ -103,7 +105,10 @@
             }),
             Evidence::Succeeded => None,
         });
-        crashes.filter(|crash| crash.age_ms < TOLD_MS).take(MAX_TOLD).collect()
+        crashes
+            .filter(|crash| crash.age_ms < TOLD_MS)
+            .take(MAX_TOLD)
+            .collect()
     }
 }
 
@@ -117,7 +122,9 @@
         if matches!(accepted, Ok(Ok(_))) {
             return;
         }
-        state.quarantine.note(fingerprint, live.addr, Ending::Broken);
+        state
+            .quarantine
+            .note(fingerprint, live.addr, Ending::Broken);
         event::emit(&Event::ServerCrashed {
             server: live.id.to_string(),
             fingerprint: short(&fingerprint),
@@ -127,6 +134,10 @@
 
 /// Returns the beginning of a fingerprint, enough to tell requests apart in a log.
 fn short(fingerprint: &Fingerprint) -> String {
-    let bytes = fingerprint.bytes().iter().take(6);
-    bytes.map(|byte| format!("{byte:02x}")).collect()
+    let first = fingerprint
+        .bytes()
+        .first_chunk()
+        .copied()
+        .unwrap_or_default();
+    format!("{:016x}", u64::from_be_bytes(first))
 }
--- /dev/null
+++ b/crates/entry/src/register.rs
@@ -0,0 +1,170 @@
+//! Taking what the store says.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use event::Event;
+use fleet::report::Announcement;
+use fleet::roster::Change;
+use fleet::{Config, Entry, Item};
+use steer::place::Distance;
+
+use crate::servers::Live;
+use crate::state::State;
+use crate::store::Raw;
+
+impl State {
+    /// Takes a key of the store that `item` is the meaning of.
+    pub fn apply(&self, raw: Raw, item: Item) {
+        let mut is_heartbeat = false;
+        match item {
+            Item::Other => return,
+            Item::Config(config) => self.put_in_force(*config),
+            Item::Server { id, entry } => is_heartbeat = self.register(&id, entry),
+            Item::ServerGone { id } => self.forget(&id),
+            Item::Evacuated { zone } => self.evacuate(&zone, true),
+            Item::Restored { zone } => self.evacuate(&zone, false),
+            Item::Member { vm, bytes } => self.announce(&vm, &bytes),
+            Item::MemberGone { vm } => self.board.borrow_mut().withdraw(&vm),
+            Item::Unreadable { key, problem } => {
+                event::emit(&Event::KeyUnreadable { key, problem });
+                return;
+            }
+        }
+        self.copy.borrow_mut().put(raw, is_heartbeat);
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn note_outage_end(&self, now: Instant) {
+        self.roster.borrow_mut().note_outage_end(now);
+    }
+
+    /// Returns until when missing backend servers are kept.
+    #[must_use]
+    pub fn rejoin_until(&self) -> Option<Instant> {
+        self.roster.borrow().rejoin_until()
+    }
+
+    /// Keeps missing backend servers until `until`, as another entry VM does.
+    pub fn set_rejoin_until(&self, until: Instant) {
+        self.roster.borrow_mut().set_rejoin_until(until);
+    }
+
+    /// Gives up backend servers that have not registered again in time.
+    pub fn expire(&self, now: Instant) {
+        let expired = self.roster.borrow_mut().expire(now);
+        for server in expired {
+            self.drop_server(&server.id);
+        }
+    }
+
+    fn put_in_force(&self, config: Config) {
+        if self.config.borrow().is_some() && config.version <= self.version() {
+            return;
+        }
+        event::emit(&Event::ConfigInForce {
+            revision: config.version.0,
+        });
+        self.config.replace(Some(Rc::new(config)));
+        self.rebalance(0.0, Instant::now());
+    }
+
+    /// Takes a backend server's registration; returns whether it says nothing new.
+    fn register(&self, id: &str, entry: Entry) -> bool {
+        let now = Instant::now();
+        let change = self.roster.borrow_mut().register(id, entry);
+        let was_cold = self
+            .servers
+            .borrow()
+            .get(id)
+            .is_some_and(|live| live.says_cold(now));
+        let roster = self.roster.borrow();
+        let Some(server) = roster.server(id) else {
+            return false;
+        };
+        let is_cold = !server.entry.warmup_left.is_zero();
+        let mut servers = self.servers.borrow_mut();
+        match (change, servers.get(id)) {
+            (Change::None, Some(_)) => {}
+            (Change::Heartbeat | Change::Leaving, Some(live)) if live.addr == server.entry.addr => {
+                live.slots.set(server.entry.slots);
+                live.ready.set(server.entry.phase == fleet::Phase::Ready);
+                live.cold
+                    .borrow_mut()
+                    .note_heartbeat(server.entry.warmup_left, now);
+                if change == Change::Leaving {
+                    live.idle.borrow_mut().clear();
+                    event::emit(&Event::ServerLeaving {
+                        server: id.to_owned(),
+                    });
+                }
+            }
+            _ => {
+                let zone = &server.entry.zone;
+                let region = self.region_of(zone).to_owned();
+                let live = Live::new(server, &region, self.distance(zone), now);
+                servers.put(live);
+                event::emit(&Event::ServerJoined {
+                    server: id.to_owned(),
+                    service: server.entry.service.clone(),
+                    zone: zone.clone(),
+                    backend: server.entry.addr,
+                });
+            }
+        }
+        matches!(change, Change::None | Change::Heartbeat) && is_cold == was_cold
+    }
+
+    fn distance(&self, zone: &str) -> Distance {
+        if zone == self.settings.zone {
+            Distance::Zone
+        } else if self.region_of(zone) == self.settings.region {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
+    }
+
+    fn forget(&self, id: &str) {
+        let removed = self.roster.borrow_mut().remove(id, Instant::now());
+        if removed.is_some() {
+            self.drop_server(id);
+        }
+    }
+
+    fn drop_server(&self, id: &str) {
+        self.servers.borrow_mut().remove(id);
+        event::emit(&Event::ServerGone {
+            server: id.to_owned(),
+        });
+    }
+
+    /// Begins or ends the evacuation of a zone. Its servers may be cold afterwards.
+    fn evacuate(&self, zone: &str, evacuated: bool) {
+        if !self.roster.borrow_mut().set_evacuated(zone, evacuated) {
+            return;
+        }
+        let now = Instant::now();
+        event::emit(&Event::ZoneEvacuated {
+            zone: zone.to_owned(),
+            evacuated,
+        });
+        let servers = self.servers.borrow();
+        for live in servers.iter().filter(|live| live.zone == zone) {
+            live.cold.borrow_mut().suspect(now);
+        }
+    }
+
+    fn announce(&self, vm: &str, bytes: &[u8]) {
+        match postcard::from_bytes::<Announcement>(bytes) {
+            Ok(announcement) => {
+                let mut board = self.board.borrow_mut();
+                board.announce(vm, announcement, Instant::now());
+            }
+            Err(error) => event::emit(&Event::KeyUnreadable {
+                key: vm.to_owned(),
+                problem: error.to_string(),
+            }),
+        }
+    }
+}
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -138,7 +138,10 @@
 
     /// Notes that it could not be reached, or broke off a request.
     pub fn note_unreached(&self, now: Instant) {
-        let pause = self.down.get().map_or(DOWN, |down| (down.pause * 2).min(DOWN_MOST));
+        let pause = self
+            .down
+            .get()
+            .map_or(DOWN, |down| (down.pause * 2).min(DOWN_MOST));
         let until = now + pause;
         self.down.set(Some(Down { until, pause }));
         self.cold.borrow_mut().suspect(now);
@@ -159,11 +162,8 @@
 
 impl Told {
     fn others(&self, now: Instant) -> f64 {
-        let age = now.duration_since(self.at);
-        if age <= TOLD_FULL {
-            return self.others;
-        }
-        let halvings = (age - TOLD_FULL).as_secs_f64() / TOLD_FULL.as_secs_f64();
+        let beyond = now.duration_since(self.at).saturating_sub(TOLD_FULL);
+        let halvings = beyond.as_secs_f64() / TOLD_FULL.as_secs_f64();
         self.others * 0.5_f64.powf(halvings)
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -42,6 +42,8 @@
     pub lookups: Option<SocketAddr>,
     /// Other entry VMs' requests for state.
     pub state: Option<SocketAddr>,
+    /// Metrics.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Bounds that the fleet keeps to.
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -98,5 +98,6 @@
     fn decode(&self, raw: &Raw) -> Item;
 
     /// Returns another value that makes calls beside this one.
+    #[must_use]
     fn another(&self) -> Self;
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -78,12 +78,16 @@
             return FOLLOW;
         }
         match self.read(store).await {
-            Ok(()) => PAUSE,
+            Ok(()) => {
+                self.state.metrics.note_store_call("changes", true);
+                PAUSE
+            }
             Err(StoreError::Compacted) => {
                 self.is_listed = false;
                 Duration::ZERO
             }
             Err(error) => {
+                self.state.metrics.note_store_call("changes", false);
                 self.note_failure(&error);
                 self.ask_neighbours(store).await;
                 RETRY
@@ -228,6 +232,9 @@
             Some(lease) => store.renew_lease(lease).await.map(|()| lease),
             None => begin(&state, &mut store).await,
         };
+        state
+            .metrics
+            .note_store_call("announcement", renewed.is_ok());
         lease = match renewed {
             Ok(lease) => Some(lease),
             Err(StoreError::NotFound) => None,
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -167,7 +167,7 @@
     let answered = loop {
         tokio::select! {
             biased;
-            received = receiver.receive(&mut reader) => break received?,
+            answer = receiver.receive(&mut reader) => break answer?,
             written = writer.write_buf(&mut rest), if writing => {
                 // A server may answer although it takes no more of the body, so a failed write
                 // alone decides nothing.
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use catalogue::{Entry, render};
 pub use list::{CATALOGUE, Event};
-pub use log::{emit, init};
+pub use log::{dropped, emit, init, init_bounded};
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -75,4 +75,5 @@
     3010 warn NeighbourUnreachable { addr: SocketAddr, error: String } "Another entry VM did not tell its state.";
     3011 info RequestEnded { request: String, status: u16, reason: String, route: String, service: String, server: String, sent: u32, config: u64, ms: u64 } "A request was answered; successes are sampled.";
     3012 error ServerCrashed { server: String, fingerprint: String } "A backend server cannot be reached right after it broke off a request.";
+    3013 warn LinesDropped { lines: u64 } "Standard output was not read in time, so lines were left out; `lines` counts them since the start.";
 }
--- a/crates/event/src/log.rs
+++ b/crates/event/src/log.rs
@@ -1,11 +1,14 @@
 //! Writing events as JSON lines through the logging library.
 
+use std::num::NonZeroUsize;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use eyre::WrapErr;
 use serde::Serialize;
 use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::{Level, LevelFilter};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger, ThreadPool};
 
 use crate::Event;
 
@@ -43,6 +46,42 @@
     Ok(())
 }
 
+/// Lines that may wait to be written.
+const MAX_WAITING: NonZeroUsize = NonZeroUsize::new(4_096).unwrap();
+
+/// Lines that were left out.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Sets the default logger to bare JSON lines at `level` on standard output, written by a thread
+/// of its own. If standard output is not read, lines are left out and counted; nothing waits.
+///
+/// # Errors
+///
+/// Fails if the level is unknown or the thread cannot be started.
+pub fn init_bounded(level: &str) -> eyre::Result<()> {
+    let output = StdStreamSink::builder().stdout().build_arc()?;
+    let pool = ThreadPool::builder().capacity(MAX_WAITING).build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(output)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(|_| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        })
+        .build_arc()?;
+    let logger = Logger::builder().sink(sink).build_arc()?;
+    spdlog::set_default_logger(logger);
+    init(level)?;
+    spdlog::default_logger().set_flush_level_filter(LevelFilter::Off);
+    Ok(())
+}
+
+/// Returns the number of lines that were left out.
+#[must_use]
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
 /// Logs `event`.
 pub fn emit(event: &Event) {
     let entry = event.entry();
--- a/crates/fleet/src/board.rs
+++ b/crates/fleet/src/board.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
+use crate::report::{Announcement, Kind, Message, Report};
 
 /// Silence after which an entry VM no longer leads.
 const LEAD_SILENCE: Duration = Duration::from_millis(1_200);
@@ -27,104 +27,6 @@
 /// Ranks of a zone that are told about each VM.
 const TOLD_RANKS: usize = 3;
 
-/// How an entry VM is reached.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// Zone.
-    pub zone: String,
-    /// Address for messages between entry VMs.
-    pub peer: SocketAddr,
-    /// Address of the state service.
-    pub state: Option<SocketAddr>,
-    /// Address for callers.
-    pub callers: Option<SocketAddr>,
-}
-
-/// What is told about a set of entry VMs.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Report {
-    /// The VMs.
-    pub vms: Vec<Seen>,
-    /// Requests of workspaces, summed over the VMs.
-    pub asked: Vec<Asked>,
-    /// Load of services, for each zone.
-    pub loads: Vec<Load>,
-    /// Backend servers that crashed while they ran a request.
-    pub crashes: Vec<Crash>,
-}
-
-/// A backend server that crashed while it ran a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
-    /// Fingerprint of the request.
-    pub fingerprint: [u8; 16],
-    /// Address of the backend server.
-    pub server: SocketAddr,
-    /// Time since the crash, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// An entry VM that is alive.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Seen {
-    /// Hash of its name.
-    pub vm: u64,
-    /// Whether callers may be sent to it.
-    pub is_ready: bool,
-    /// Revision of the store that it knows.
-    pub revision: u64,
-}
-
-/// Requests of one workspace.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Asked {
-    /// Hash of the workspace's name.
-    pub workspace: u32,
-    /// Requests a second that came.
-    pub demand: f32,
-    /// Requests a second that were admitted.
-    pub admitted: f32,
-}
-
-/// Load of one service in one zone.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Load {
-    /// Hash of the service's name.
-    pub service: u32,
-    /// Hash of the zone's name.
-    pub zone: u32,
-    /// Requests for each slot of the zone's backend servers.
-    pub busy: f32,
-    /// Part of the zone's objects that begin in another zone of the region.
-    pub spill_zone: f32,
-    /// Part of the zone's objects that begin in another region.
-    pub spill_region: f32,
-}
-
-/// What a message is about.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Kind {
-    /// Its sender.
-    Hello,
-    /// Its sender's zone.
-    Digest,
-    /// The fleet.
-    Picture,
-}
-
-/// A message between entry VMs.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Message {
-    /// Name of the sender.
-    pub vm: String,
-    /// How the sender is reached.
-    pub announcement: Announcement,
-    /// What it is about.
-    pub kind: Kind,
-    /// What is told.
-    pub report: Report,
-}
-
 #[derive(Debug)]
 struct Known {
     announcement: Announcement,
@@ -269,12 +171,19 @@
     /// Forgets what is too old.
     pub fn expire(&mut self, now: Instant) {
         self.known.retain(|_, known| {
-            let limit = if known.is_announced { FORGET } else { FORGET_WITHDRAWN };
+            let limit = if known.is_announced {
+                FORGET
+            } else {
+                FORGET_WITHDRAWN
+            };
             now.duration_since(known.last) < limit
         });
-        self.hellos.retain(|_, told| now.duration_since(told.at) < SILENCE);
-        self.digests.retain(|_, told| now.duration_since(told.at) < SILENCE);
-        self.picture.take_if(|told| now.duration_since(told.at) >= LEAD_SILENCE);
+        self.hellos
+            .retain(|_, told| now.duration_since(told.at) < SILENCE);
+        self.digests
+            .retain(|_, told| now.duration_since(told.at) < SILENCE);
+        self.picture
+            .take_if(|told| now.duration_since(told.at) >= LEAD_SILENCE);
     }
 
     /// Returns whether this VM leads its zone.
@@ -282,7 +191,9 @@
     pub fn leads(&self, now: Instant) -> bool {
         let own = (self.hash)(&self.name);
         let is_higher = |known: &&Known| {
-            let is_heard = known.spoke.is_some_and(|at| now.duration_since(at) < LEAD_SILENCE);
+            let is_heard = known
+                .spoke
+                .is_some_and(|at| now.duration_since(at) < LEAD_SILENCE);
             is_heard && known.announcement.zone == self.own.zone && known.rank > own
         };
         !self.known.values().any(|known| is_higher(&known))
@@ -347,10 +258,14 @@
 
     /// Returns the addresses of those of a zone's other VMs that pass `filter`, highest rank first.
     fn ranked(&self, zone: &str, filter: impl Fn(&&Known) -> bool) -> Vec<SocketAddr> {
-        let own = self.known.values().filter(|known| known.announcement.zone == zone);
+        let own = self
+            .known
+            .values()
+            .filter(|known| known.announcement.zone == zone);
         let own = own.filter(filter);
-        let mut ranked: Vec<(u64, SocketAddr)> =
-            own.map(|known| (known.rank, known.announcement.peer)).collect();
+        let mut ranked: Vec<(u64, SocketAddr)> = own
+            .map(|known| (known.rank, known.announcement.peer))
+            .collect();
         ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
         ranked.into_iter().map(|(_, addr)| addr).collect()
     }
@@ -359,11 +274,17 @@
     /// told, and another VM each time.
     fn digest_targets(&mut self, now: Instant) -> Vec<SocketAddr> {
         self.turn = self.turn.wrapping_add(1);
-        let zones = self.known.values().map(|known| known.announcement.zone.as_str());
+        let zones = self
+            .known
+            .values()
+            .map(|known| known.announcement.zone.as_str());
         let zones: HashSet<&str> = zones.filter(|zone| *zone != self.own.zone).collect();
         let mut targets = Vec::new();
         for zone in zones {
-            let lead = self.digests.get(zone).and_then(|told| self.known.get(&told.vm));
+            let lead = self
+                .digests
+                .get(zone)
+                .and_then(|told| self.known.get(&told.vm));
             if let Some(known) = lead {
                 targets.push(known.announcement.peer);
                 continue;
@@ -413,8 +334,13 @@
     pub fn ready<'a>(&'a self, report: &Report) -> Vec<(&'a str, &'a Announcement)> {
         let ready = report.vms.iter().filter(|seen| seen.is_ready);
         let ready: HashSet<u64> = ready.map(|seen| seen.vm).collect();
-        let known = self.known.iter().filter(|(_, known)| ready.contains(&known.rank));
-        known.map(|(vm, known)| (vm.as_str(), &known.announcement)).collect()
+        let known = self
+            .known
+            .iter()
+            .filter(|(_, known)| ready.contains(&known.rank));
+        known
+            .map(|(vm, known)| (vm.as_str(), &known.announcement))
+            .collect()
     }
 
     /// Returns the state services of VMs that know more of the store than `revision`, those that
@@ -432,65 +358,3 @@
         ahead.into_iter().map(|(_, state)| state).collect()
     }
 }
-
-impl Crash {
-    fn is_same(&self, other: &Self) -> bool {
-        self.fingerprint == other.fingerprint && self.server == other.server
-    }
-}
-
-impl Report {
-    /// Adds what `other` tells about other VMs.
-    pub fn merge(&mut self, other: &Self) {
-        for seen in &other.vms {
-            if !self.vms.iter().any(|known| known.vm == seen.vm) {
-                self.vms.push(*seen);
-            }
-        }
-        let mut places: HashMap<u32, usize> = HashMap::new();
-        for (place, asked) in self.asked.iter().enumerate() {
-            places.insert(asked.workspace, place);
-        }
-        for asked in &other.asked {
-            if let Some(place) = places.get(&asked.workspace) {
-                self.asked[*place].demand += asked.demand;
-                self.asked[*place].admitted += asked.admitted;
-            } else {
-                self.asked.push(*asked);
-            }
-        }
-        for load in &other.loads {
-            self.merge_load(load);
-        }
-        for crash in &other.crashes {
-            if !self.crashes.iter().any(|known| known.is_same(crash)) {
-                self.crashes.push(crash.clone());
-            }
-        }
-    }
-
-    /// Takes the mean of what VMs of one zone tell about it.
-    fn merge_load(&mut self, load: &Load) {
-        let same = |known: &&mut Load| known.service == load.service && known.zone == load.zone;
-        let Some(known) = self.loads.iter_mut().find(same) else {
-            self.loads.push(*load);
-            return;
-        };
-        known.busy = known.busy.max(load.busy);
-        known.spill_zone = f32::midpoint(known.spill_zone, load.spill_zone);
-        known.spill_region = f32::midpoint(known.spill_region, load.spill_region);
-    }
-
-    /// Returns what is told of a workspace.
-    #[must_use]
-    pub fn asked(&self, workspace: u32) -> Option<&Asked> {
-        self.asked.iter().find(|asked| asked.workspace == workspace)
-    }
-
-    /// Returns what is told of a service in a zone.
-    #[must_use]
-    pub fn load(&self, service: u32, zone: u32) -> Option<&Load> {
-        let mut loads = self.loads.iter();
-        loads.find(|load| load.service == service && load.zone == zone)
-    }
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod board;
 pub mod config;
 pub mod item;
+pub mod report;
 pub mod roster;
 pub mod server;
 
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -144,7 +144,9 @@
         for id in &due {
             self.missing.remove(id);
         }
-        due.iter().filter_map(|id| self.servers.remove(id)).collect()
+        due.iter()
+            .filter_map(|id| self.servers.remove(id))
+            .collect()
     }
 }
 
--- a/crates/fleet/tests/board.rs
+++ b/crates/fleet/tests/board.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::Board;
-use fleet::board::{Announcement, Asked, Report, Seen};
+use fleet::report::{Announcement, Asked, Report, Seen};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -92,13 +92,20 @@
             };
             let zone = board.own().zone.clone();
             let messages = board.messages(own, self.now);
-            sent.extend(messages.into_iter().map(|(target, message)| (zone.clone(), target, message)));
+            sent.extend(
+                messages
+                    .into_iter()
+                    .map(|(target, message)| (zone.clone(), target, message)),
+            );
         }
         self.messages = sent.len();
         for (zone, target, message) in sent {
             let index = self.places[&target];
             let target_zone = self.boards[index].1.own().zone.clone();
-            let is_cut = self.cut.as_ref().is_some_and(|cut| (zone == *cut) != (target_zone == *cut));
+            let is_cut = self
+                .cut
+                .as_ref()
+                .is_some_and(|cut| (zone == *cut) != (target_zone == *cut));
             if !is_cut && !self.dead[index] {
                 self.boards[index].1.take(message, self.now);
             }
@@ -117,15 +124,24 @@
 
     /// Returns what each living VM knows of the fleet.
     fn pictures(&self) -> Vec<Report> {
-        let living = self.boards.iter().zip(&self.dead).filter(|(_, dead)| !**dead);
-        living.map(|((_, board), _)| board.fleet(self.now)).collect()
+        let living = self
+            .boards
+            .iter()
+            .zip(&self.dead)
+            .filter(|(_, dead)| !**dead);
+        living
+            .map(|((_, board), _)| board.fleet(self.now))
+            .collect()
     }
 
     fn leads(&self, zone: usize) -> Vec<usize> {
         let zone = format!("zone-{zone}");
-        let in_zone = |index: &usize| !self.dead[*index] && self.boards[*index].1.own().zone == zone;
+        let in_zone =
+            |index: &usize| !self.dead[*index] && self.boards[*index].1.own().zone == zone;
         let all = 0..self.boards.len();
-        all.filter(in_zone).filter(|index| self.boards[*index].1.leads(self.now)).collect()
+        all.filter(in_zone)
+            .filter(|index| self.boards[*index].1.leads(self.now))
+            .collect()
     }
 }
 
@@ -136,7 +152,11 @@
     for picture in fleet.pictures() {
         assert_eq!(picture.vms.len(), 78);
         let asked = picture.asked(1).expect("the workspace is told of");
-        assert!((asked.demand - 78.0).abs() < 0.01, "demand {}", asked.demand);
+        assert!(
+            (asked.demand - 78.0).abs() < 0.01,
+            "demand {}",
+            asked.demand
+        );
     }
     for zone in 0..6 {
         assert_eq!(fleet.leads(zone).len(), 1);
@@ -149,7 +169,12 @@
     let mut large = Fleet::new(6, 20);
     small.rounds(8);
     large.rounds(8);
-    assert!(large.messages <= small.messages * 5, "{} and {}", small.messages, large.messages);
+    assert!(
+        large.messages <= small.messages * 5,
+        "{} and {}",
+        small.messages,
+        large.messages
+    );
 }
 
 #[test]
@@ -162,7 +187,10 @@
     assert_eq!(fleet.leads(1).len(), 1);
     let dead = rank(&fleet.boards[lead].0);
     for picture in fleet.pictures() {
-        assert!(picture.vms.iter().all(|seen| seen.vm != dead), "a dead VM is still named");
+        assert!(
+            picture.vms.iter().all(|seen| seen.vm != dead),
+            "a dead VM is still named"
+        );
         assert_eq!(picture.vms.len(), 14);
     }
 }
@@ -173,11 +201,20 @@
     fleet.rounds(6);
     fleet.cut = Some("zone-0".to_owned());
     fleet.rounds(12);
-    let sizes: Vec<usize> = fleet.pictures().iter().map(|picture| picture.vms.len()).collect();
+    let sizes: Vec<usize> = fleet
+        .pictures()
+        .iter()
+        .map(|picture| picture.vms.len())
+        .collect();
     assert_eq!(sizes, [4, 4, 4, 4, 8, 8, 8, 8, 8, 8, 8, 8]);
     fleet.cut = None;
     fleet.rounds(12);
-    assert!(fleet.pictures().iter().all(|picture| picture.vms.len() == 12));
+    assert!(
+        fleet
+            .pictures()
+            .iter()
+            .all(|picture| picture.vms.len() == 12)
+    );
 }
 
 proptest! {
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -24,9 +24,18 @@
 #[test]
 fn an_incarnation_that_leaves_does_not_come_back() {
     let mut roster = Roster::default();
-    assert_eq!(roster.register("s", entry(1, 1, Phase::Ready)), Change::Joined);
-    assert_eq!(roster.register("s", entry(1, 2, Phase::Draining)), Change::Leaving);
-    assert_eq!(roster.register("s", entry(1, 3, Phase::Ready)), Change::Heartbeat);
+    assert_eq!(
+        roster.register("s", entry(1, 1, Phase::Ready)),
+        Change::Joined
+    );
+    assert_eq!(
+        roster.register("s", entry(1, 2, Phase::Draining)),
+        Change::Leaving
+    );
+    assert_eq!(
+        roster.register("s", entry(1, 3, Phase::Ready)),
+        Change::Heartbeat
+    );
     let server = roster.server("s").expect("it is listed");
     assert_eq!(server.entry.phase, Phase::Draining);
 }
@@ -35,10 +44,19 @@
 fn a_new_incarnation_under_the_same_name_begins_anew() {
     let mut roster = Roster::default();
     roster.register("s", entry(1, 90, Phase::Draining));
-    assert_eq!(roster.register("s", entry(2, 1, Phase::Ready)), Change::Joined);
-    assert_eq!(roster.register("s", entry(1, 91, Phase::Ready)), Change::None);
+    assert_eq!(
+        roster.register("s", entry(2, 1, Phase::Ready)),
+        Change::Joined
+    );
+    assert_eq!(
+        roster.register("s", entry(1, 91, Phase::Ready)),
+        Change::None
+    );
     let server = roster.server("s").expect("it is listed");
-    assert_eq!((server.entry.born_ms, server.entry.phase), (2, Phase::Ready));
+    assert_eq!(
+        (server.entry.born_ms, server.entry.phase),
+        (2, Phase::Ready)
+    );
 }
 
 #[test]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod listener;
 pub mod platform;
 mod server;
+pub mod users;
--- /dev/null
+++ b/crates/standin/src/users/http.rs
@@ -0,0 +1,169 @@
+//! The calls of the store.
+
+use std::io::Read as _;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use rouille::{Request, Response};
+use serde_json::{Value, json};
+
+use super::Fault;
+use super::keys::{Change, Conflict, Item, Keys};
+use crate::listener::Connections;
+
+/// Most keys of a page; the users name about 500, and a small one makes tests turn pages.
+const PAGE: usize = 3;
+
+/// Answers `request`.
+pub fn answer(keys: &Keys, request: &Request, fault: Fault, connections: &Connections) -> Response {
+    match fault {
+        Fault::None => serve(keys, request),
+        Fault::Refuse(status) => Response::text("").with_status_code(status),
+        Fault::Reset => {
+            connections.close(*request.remote_addr());
+            Response::text("")
+        }
+        Fault::LoseAnswers => {
+            let answer = serve(keys, request);
+            connections.close(*request.remote_addr());
+            answer
+        }
+    }
+}
+
+fn serve(keys: &Keys, request: &Request) -> Response {
+    let parameter = |name: &str| request.get_param(name).unwrap_or_default();
+    let number = |name: &str| parameter(name).parse::<u64>().unwrap_or_default();
+    match (request.method(), request.url().as_str()) {
+        ("GET", "/-/kv-key") => key(keys, &parameter("key")),
+        ("GET", "/-/kv-range") => range(keys, &parameter("prefix"), &parameter("after")),
+        ("GET", "/-/kv-watch") => {
+            let wait = Duration::from_millis(number("wait_ms"));
+            watch(keys, &parameter("prefix"), number("after"), wait)
+        }
+        ("POST", "/-/kv-txn") => transact(keys, &body(request)),
+        ("POST", "/-/kv-lease") => grant(keys, &body(request)),
+        ("POST", url) if url.starts_with("/-/kv-keep/") => renew(keys, url),
+        ("DELETE", url) if url.starts_with("/-/kv-lease-end/") => end(keys, url),
+        _ => status(404),
+    }
+}
+
+fn status(status: u16) -> Response {
+    Response::json(&json!({})).with_status_code(status)
+}
+
+fn body(request: &Request) -> Value {
+    let mut text = String::new();
+    let read = request
+        .data()
+        .map(|mut data| data.read_to_string(&mut text));
+    match read {
+        Some(Ok(_)) => serde_json::from_str(&text).unwrap_or_default(),
+        _ => Value::Null,
+    }
+}
+
+fn item(item: &Item) -> Value {
+    json!({
+        "key": item.key,
+        "value": STANDARD.encode(&item.value),
+        "revision": item.revision,
+        "created": item.created,
+        "lease": item.lease,
+    })
+}
+
+fn key(keys: &Keys, name: &str) -> Response {
+    let (found, revision) = keys.get(name);
+    let Some(found) = found else {
+        return status(404);
+    };
+    let mut found = item(&found);
+    found["as_of"] = json!(revision);
+    Response::json(&found)
+}
+
+fn range(keys: &Keys, prefix: &str, after: &str) -> Response {
+    let (items, has_more, revision) = keys.range(prefix, after, PAGE);
+    let items: Vec<Value> = items.iter().map(item).collect();
+    Response::json(&json!({ "items": items, "has_more": has_more, "as_of": revision }))
+}
+
+fn watch(keys: &Keys, prefix: &str, after: u64, wait: Duration) -> Response {
+    let Some((changes, revision)) = keys.watch(prefix, after, wait) else {
+        return status(410);
+    };
+    let event = |change: &Change| match change {
+        Change::Put(put) => item(put),
+        Change::Removed { key, revision } => {
+            json!({ "key": key, "revision": revision, "removed": true })
+        }
+    };
+    let events: Vec<Value> = changes.iter().map(event).collect();
+    Response::json(&json!({ "events": events, "as_of": revision }))
+}
+
+fn transact(keys: &Keys, body: &Value) -> Response {
+    let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    let name = |row: &Value| row["key"].as_str().unwrap_or_default().to_owned();
+    let expected = rows("expected_rev");
+    let expected = expected
+        .iter()
+        .map(|row| (name(row), row["revision"].as_u64().unwrap_or_default()));
+    let expected: Vec<(String, u64)> = expected.collect();
+    let puts = rows("puts");
+    let puts = puts.iter().map(|row| {
+        let value = STANDARD.decode(row["value"].as_str().unwrap_or_default());
+        (
+            name(row),
+            value.unwrap_or_default(),
+            row["lease"].as_u64().unwrap_or_default(),
+        )
+    });
+    let puts: Vec<(String, Vec<u8>, u64)> = puts.collect();
+    let removed = rows("remove");
+    let removed: Vec<String> = removed
+        .iter()
+        .filter_map(|key| key.as_str().map(str::to_owned))
+        .collect();
+    match keys.transact(&expected, &puts, &removed) {
+        Ok(revision) => Response::json(&json!({ "revision": revision })),
+        Err(Conflict::Revision) => {
+            let current = expected.iter().filter_map(|(key, _)| keys.get(key).0);
+            let items: Vec<Value> = current.map(|found| item(&found)).collect();
+            Response::json(&json!({ "items": items })).with_status_code(412)
+        }
+        Err(Conflict::Lease) => status(404),
+    }
+}
+
+fn grant(keys: &Keys, body: &Value) -> Response {
+    let ttl = body["ttl_time"].as_str().unwrap_or_default();
+    let Some(ttl_ms) = ttl.strip_suffix("ms").and_then(|ms| ms.parse().ok()) else {
+        return status(400);
+    };
+    let lease = keys.grant(Duration::from_millis(ttl_ms));
+    Response::json(&json!({ "lease": lease, "ttl_time": ttl }))
+}
+
+fn lease_of(url: &str) -> u64 {
+    let number = url.rsplit('/').next().unwrap_or_default();
+    number.parse().unwrap_or_default()
+}
+
+fn renew(keys: &Keys, url: &str) -> Response {
+    match keys.renew(lease_of(url)) {
+        Some(ttl) => Response::json(&json!({ "ttl_time": format!("{}ms", ttl.as_millis()) })),
+        None => status(404),
+    }
+}
+
+fn end(keys: &Keys, url: &str) -> Response {
+    if keys.end(lease_of(url)) {
+        status(200)
+    } else {
+        status(404)
+    }
+}
--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::window::Window;
+use crate::window::{Window, real};
 
 /// Part of the fleet's bound that is used, so that counting at other moments than the bound's
 /// owner does not exceed it.
@@ -50,7 +50,7 @@
     /// Counts a repeat and returns true, or returns false if `vms` entry VMs have no room for it.
     pub fn take(&mut self, vms: usize, now: Instant) -> bool {
         let room = self.room(vms, now);
-        if self.repeats.count(now) as f64 + 1.0 > room {
+        if self.repeats.count(now) + 1.0 > room {
             return false;
         }
         self.repeats.note(now);
@@ -58,8 +58,8 @@
     }
 
     fn room(&mut self, vms: usize, now: Instant) -> f64 {
-        let requests = self.requests.count(now) as f64;
-        let extra = self.bound.extra / vms.max(1) as f64;
+        let requests = self.requests.count(now);
+        let extra = self.bound.extra / real(vms.max(1));
         MARGIN * (self.bound.ratio * requests + extra)
     }
 }
--- a/crates/steer/src/cold.rs
+++ b/crates/steer/src/cold.rs
@@ -22,7 +22,7 @@
 
 /// Age from which a heartbeat was certainly written after a failure: the time between two
 /// readings of the store.
-const FRESH: Duration = Duration::from_millis(1_000);
+const FRESH: Duration = Duration::from_secs(1);
 
 /// What is believed of a server's warmth.
 #[derive(Debug)]
@@ -73,7 +73,7 @@
     /// Returns whether the owner may send another request, if all entry VMs together may send
     /// `bound` a second.
     pub fn allows(&mut self, bound: f64, now: Instant) -> bool {
-        (self.sent.count(now) as f64) + 1.0 <= (bound * OWNER_PART).max(1.0)
+        self.sent.count(now) + 1.0 <= (bound * OWNER_PART).max(1.0)
     }
 
     /// Counts a request that was sent.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -11,4 +11,4 @@
 pub mod split;
 pub mod window;
 
-pub use window::Window;
+pub use window::{Window, real};
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -50,11 +50,11 @@
     xxh3_64(name)
 }
 
-/// Returns a number from 0 to 1 that depends on `object` alone.
+/// Returns a number between 0 and 1 that depends on `object` alone.
 #[must_use]
 pub fn mix(object: u64) -> f64 {
-    let mixed = xxh3_64_with_seed(&object.to_le_bytes(), 1) >> 11;
-    mixed as f64 / (1u64 << 53) as f64
+    let mixed = xxh3_64_with_seed(&object.to_le_bytes(), 1) >> 32;
+    f64::from(u32::try_from(mixed).unwrap_or(u32::MAX)) / f64::from(u32::MAX)
 }
 
 fn score(object: u64, server: u64) -> u64 {
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -11,6 +11,8 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
+use crate::window::real;
+
 /// Part of a VM's even share that it uses while it hears of no other.
 const STANDING: f64 = 0.6;
 
@@ -154,12 +156,12 @@
 
     /// Returns this VM's part of the rate.
     fn share_per_s(&self) -> f64 {
-        let vms = self.others.vms.max(1) as f64;
+        let vms = real(self.others.vms.max(1));
         if self.others.heard <= 1 && self.others.vms > 1 {
             return self.rate.per_s / vms * STANDING;
         }
         let expected = self.rate.per_s / vms * EXPECTED;
-        let heard = self.others.heard.max(1) as f64;
+        let heard = real(self.others.heard.max(1));
         let own = self.past_demand.front().copied().unwrap_or_default();
         let total = expected.mul_add(heard, own + self.others.demand);
         self.reachable_per_s() * (own + expected) / total.max(f64::MIN_POSITIVE)
@@ -167,8 +169,8 @@
 
     /// Returns the part of the rate that belongs to the VMs that are heard of.
     fn reachable_per_s(&self) -> f64 {
-        let vms = self.others.vms.max(1) as f64;
-        self.rate.per_s * self.others.heard.max(1) as f64 / vms
+        let vms = real(self.others.vms.max(1));
+        self.rate.per_s * real(self.others.heard.max(1)) / vms
     }
 
     fn refill(&mut self, now: Instant) {
@@ -178,13 +180,19 @@
         let part = reachable / self.rate.per_s.max(0.01);
         let net = reachable - self.others.admitted;
         let most = (self.rate.burst * part).max(1.0);
-        self.fleet = net.mul_add(elapsed, self.fleet).clamp(-DEBT_S * self.rate.per_s, most);
+        self.fleet = net
+            .mul_add(elapsed, self.fleet)
+            .clamp(-DEBT_S * self.rate.per_s, most);
         let own_part = self.own_per_s / self.rate.per_s.max(0.01);
-        let even = self.rate.per_s / self.others.vms.max(1) as f64;
+        let even = self.rate.per_s / real(self.others.vms.max(1));
         let least = (even * LEAST_BURST_S).clamp(LEAST_BURST.0, LEAST_BURST.1);
         // While a debt is paid off, no VM saves up, or all would spend at once when it is paid.
         let is_in_debt = self.fleet < 0.0;
-        let own_most = if is_in_debt { 1.0 } else { (self.rate.burst * own_part).max(least) };
+        let own_most = if is_in_debt {
+            1.0
+        } else {
+            (self.rate.burst * own_part).max(least)
+        };
         self.own = self.own_per_s.mul_add(elapsed, self.own).min(own_most);
     }
 }
--- a/crates/steer/src/spill.rs
+++ b/crates/steer/src/spill.rs
@@ -6,6 +6,8 @@
 //! they are not. Whole objects move, so that servers stay warm, and few at a time, so that no
 //! region's load changes abruptly.
 
+use crate::window::real;
+
 /// Part of the objects that begin away from their zone, from 0 to 1.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Spill {
@@ -74,7 +76,9 @@
     /// Returns the parts after `elapsed_s` seconds in which servers were as `busy` as given.
     #[must_use]
     pub fn after(self, busy: Busy, elapsed_s: f64) -> Self {
-        let near = busy.region.map_or(busy.zone, |region| f64::midpoint(busy.zone, region));
+        let near = busy
+            .region
+            .map_or(busy.zone, |region| f64::midpoint(busy.zone, region));
         Self {
             zone: adjust(self.zone, busy.zone, busy.region, elapsed_s),
             region: adjust(self.region, near, busy.far, elapsed_s),
@@ -85,7 +89,7 @@
     /// agree.
     #[must_use]
     pub fn mean(self, others: &[Self]) -> Self {
-        let count = others.len() as f64 + 1.0;
+        let count = real(others.len()) + 1.0;
         let zone: f64 = others.iter().map(|other| other.zone).sum();
         let region: f64 = others.iter().map(|other| other.region).sum();
         Self {
--- a/crates/steer/src/window.rs
+++ b/crates/steer/src/window.rs
@@ -27,9 +27,9 @@
     }
 
     /// Returns the number of events within the span before `now`.
-    pub fn count(&mut self, now: Instant) -> usize {
+    pub fn count(&mut self, now: Instant) -> f64 {
         self.expire(now);
-        self.times.len()
+        real(self.times.len())
     }
 
     fn expire(&mut self, now: Instant) {
@@ -40,3 +40,10 @@
         }
     }
 }
+
+/// Returns a count as a number to reckon with.
+#[allow(clippy::cast_precision_loss)] // counts are far below 2^52
+#[must_use]
+pub fn real(count: usize) -> f64 {
+    count as f64
+}
--- a/crates/steer/tests/place.rs
+++ b/crates/steer/tests/place.rs
@@ -1,5 +1,7 @@
 //! Placement of objects: stable, alike at every entry VM, and bounded under overload.
 
+#![allow(clippy::cast_precision_loss)]
+
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use steer::place::{Candidate, Distance, choose, hash};
@@ -22,7 +24,9 @@
 }
 
 fn zone_of(count: u64) -> Vec<Candidate> {
-    (0..count).map(|index| server(index, Distance::Zone, 0.0)).collect()
+    (0..count)
+        .map(|index| server(index, Distance::Zone, 0.0))
+        .collect()
 }
 
 fn chosen(servers: &[Candidate], object: u64) -> u64 {
@@ -69,7 +73,11 @@
     }
     homes.sort_unstable();
     homes.dedup();
-    assert!(homes.len() <= 3, "the object ran on {} servers", homes.len());
+    assert!(
+        homes.len() <= 3,
+        "the object ran on {} servers",
+        homes.len()
+    );
 }
 
 #[test]
--- a/crates/steer/tests/quota.rs
+++ b/crates/steer/tests/quota.rs
@@ -1,5 +1,7 @@
 //! Rates over a fleet of entry VMs that hear of each other late, or not at all.
 
+#![allow(clippy::cast_precision_loss)]
+
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
@@ -37,7 +39,11 @@
     fn new(vms: usize, rate: Rate) -> Self {
         let now = Instant::now();
         let mut accounts: Vec<Account> = (0..vms).map(|_| Account::new(rate, now)).collect();
-        let others = Others { vms, heard: vms, ..Others::default() };
+        let others = Others {
+            vms,
+            heard: vms,
+            ..Others::default()
+        };
         for account in &mut accounts {
             account.rebalance(rate, others, 0.0, now);
         }
@@ -71,7 +77,8 @@
             account.rebalance(self.rate, others, TICK.as_secs_f64(), self.now);
         }
         let tells = |account: &Account| (account.demand_per_s(), account.admitted_per_s());
-        self.told.insert(0, self.accounts.iter().map(tells).collect());
+        self.told
+            .insert(0, self.accounts.iter().map(tells).collect());
     }
 
     fn requests(&mut self, per_s: &[f64]) {
@@ -109,18 +116,31 @@
 /// Load pattern: 79 entry VMs and a workspace that sends less than one request a second to each.
 #[test]
 fn a_small_workspace_is_not_refused_by_many_vms() {
-    let mut fleet = Fleet::new(79, Rate { per_s: 40.0, burst: 40.0 });
+    let mut fleet = Fleet::new(
+        79,
+        Rate {
+            per_s: 40.0,
+            burst: 40.0,
+        },
+    );
     for _ in 0..60 {
         fleet.tick(&[0.4; 79], 79);
     }
     let refused = fleet.asked - fleet.admitted.len();
-    assert!(refused * 1_000 <= fleet.asked, "{refused} of {} refused", fleet.asked);
+    assert!(
+        refused * 1_000 <= fleet.asked,
+        "{refused} of {} refused",
+        fleet.asked
+    );
 }
 
 /// Load pattern: a workspace sends eight times its usual, all of a sudden.
 #[test]
 fn a_hot_workspace_is_held_to_its_rate() {
-    let rate = Rate { per_s: 300.0, burst: 300.0 };
+    let rate = Rate {
+        per_s: 300.0,
+        burst: 300.0,
+    };
     let mut fleet = Fleet::new(8, rate);
     for _ in 0..20 {
         fleet.tick(&[24.0; 8], 8);
@@ -128,15 +148,29 @@
     for _ in 0..40 {
         fleet.tick(&[190.0; 8], 8);
     }
-    assert!(fleet.most() <= bound(rate), "{} of {}", fleet.most(), bound(rate));
+    assert!(
+        fleet.most() <= bound(rate),
+        "{} of {}",
+        fleet.most(),
+        bound(rate)
+    );
     let admitted = fleet.admitted.len() as f64;
-    assert!(admitted >= 0.8 * 300.0 * 12.0, "only {admitted} were admitted");
+    assert!(
+        admitted >= 0.8 * 300.0 * 12.0,
+        "only {admitted} were admitted"
+    );
 }
 
 /// Load pattern: callers of a workspace move to other entry VMs within its rate.
 #[test]
 fn callers_that_move_are_not_refused() {
-    let mut fleet = Fleet::new(8, Rate { per_s: 300.0, burst: 300.0 });
+    let mut fleet = Fleet::new(
+        8,
+        Rate {
+            per_s: 300.0,
+            burst: 300.0,
+        },
+    );
     for _ in 0..20 {
         fleet.tick(&[23.0; 8], 8);
     }
@@ -145,23 +179,37 @@
         fleet.tick(&moved, 8);
     }
     let refused = fleet.asked - fleet.admitted.len();
-    assert!(refused * 1_000 <= fleet.asked, "{refused} of {} refused", fleet.asked);
+    assert!(
+        refused * 1_000 <= fleet.asked,
+        "{refused} of {} refused",
+        fleet.asked
+    );
 }
 
 #[test]
 fn a_lower_rate_binds_at_once() {
-    let rate = Rate { per_s: 300.0, burst: 300.0 };
+    let rate = Rate {
+        per_s: 300.0,
+        burst: 300.0,
+    };
     let mut fleet = Fleet::new(8, rate);
     for _ in 0..20 {
         fleet.tick(&[30.0; 8], 8);
     }
-    fleet.rate = Rate { per_s: 30.0, burst: 30.0 };
+    fleet.rate = Rate {
+        per_s: 30.0,
+        burst: 30.0,
+    };
     fleet.tick(&[30.0; 8], 8);
     fleet.admitted.clear();
     for _ in 0..40 {
         fleet.tick(&[30.0; 8], 8);
     }
-    assert!(fleet.most() <= bound(fleet.rate), "{} admitted in a window", fleet.most());
+    assert!(
+        fleet.most() <= bound(fleet.rate),
+        "{} admitted in a window",
+        fleet.most()
+    );
 }
 
 proptest! {
--- a/crates/steer/tests/spill.rs
+++ b/crates/steer/tests/spill.rs
@@ -1,5 +1,7 @@
 //! Objects that begin elsewhere: how fast they move, and that they follow waves of load.
 
+#![allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use steer::spill::{Busy, Shares, Spill};
--- a/crates/steer/tests/sums.rs
+++ b/crates/steer/tests/sums.rs
@@ -1,5 +1,7 @@
 //! Sums over the fleet that hold without asking anyone: repeats, cold servers, splits.
 
+#![allow(clippy::cast_precision_loss)]
+
 use std::time::{Duration, Instant};
 
 use fleet::Target;
@@ -55,7 +57,7 @@
         let mut sent: Vec<Instant> = Vec::new();
         for _ in 0..2 {
             let mut cold = Cold::default();
-            cold.note_heartbeat(Duration::from_secs(60), begin);
+            cold.note_heartbeat(Duration::from_mins(1), begin);
             let mut now = begin;
             for gap in &asks {
                 now += Duration::from_millis(*gap);
@@ -100,7 +102,11 @@
         .to_vec();
     let server = hash(b"server");
     let chosen = owner(server, "b", "r", &vms);
-    assert_eq!(chosen, Some(hash(b"b")), "the owner is in the server's zone");
+    assert_eq!(
+        chosen,
+        Some(hash(b"b")),
+        "the owner is in the server's zone"
+    );
     let reversed: Vec<Vm<'_>> = vms.iter().rev().copied().collect();
     assert_eq!(owner(server, "b", "r", &reversed), chosen);
     assert_ne!(owner(server, "x", "r", &vms), None);
@@ -114,7 +120,10 @@
     let mut cold = Cold::default();
     cold.suspect(begin);
     cold.note_heartbeat(Duration::ZERO, after(300));
-    assert!(cold.is_cold(after(400)), "the heartbeat may be older than the failure");
+    assert!(
+        cold.is_cold(after(400)),
+        "the heartbeat may be older than the failure"
+    );
     cold.note_heartbeat(Duration::ZERO, after(1_500));
     assert!(!cold.is_cold(after(1_600)));
     cold.suspect(begin);
