Tell poor backend servers by their answers

Slow, failing and silent servers are left alone for a while, compared with the others of their service; idempotent requests do not wait for a silent server.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -18,10 +18,14 @@
 use crate::state::State;
 use crate::trail::attempt_of;
 use crate::upstream::{self, Answered, Outcome, Outgoing};
+use tokio::time::timeout;
 
 /// Most servers that are tried without a byte sent.
 const MAX_UNREACHED: u32 = 3;
 
+/// Factor on a route's target latency after which a server from which nothing comes is lost.
+const SILENCE: u32 = 2;
+
 /// Shortest time after which a refused caller may come again.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -110,18 +114,18 @@
         let now = Instant::now();
         let servers = self.state.servers.borrow();
         let is_eligible = |live: &&Rc<Live>| self.is_eligible(live, now);
-        let eligible: Vec<&Rc<Live>> = servers
-            .of(self.service)
-            .iter()
-            .filter(is_eligible)
-            .collect();
+        let all = servers.of(self.service).iter().filter(is_eligible);
+        let mut eligible: Vec<&Rc<Live>> = all.collect();
         if eligible.is_empty() {
             return Err(self.truth(Refusal::NoServer(retry_after())));
         }
+        if eligible.iter().any(|live| self.is_well(live, now)) {
+            eligible.retain(|live| self.is_well(live, now));
+        }
         let candidate = |live: &&Rc<Live>| Candidate {
             server: live.hash,
             distance: live.distance,
-            load: live.load(now),
+            load: self.load(live, now),
             slots: f64::from(live.slots.get()),
         };
         let candidates: Vec<Candidate> = eligible.iter().map(candidate).collect();
@@ -133,6 +137,26 @@
         Ok(Rc::clone(eligible[chosen]))
     }
 
+    /// Returns the requests that a server is believed to have. One that does not tell is believed
+    /// to have as many from each entry VM of its zone as from this one.
+    fn load(&self, live: &Live, now: Instant) -> f64 {
+        if live.tells_load() {
+            return live.load(now);
+        }
+        live.load(now) * self.state.vms_in(&live.zone)
+    }
+
+    /// Returns whether a server answers as the others of its service do.
+    fn is_well(&self, live: &Live, now: Instant) -> bool {
+        let health = live.health.borrow();
+        !health.is_avoided(now) && !health.is_silent(self.silence(), now)
+    }
+
+    /// Returns the time after which a server from which nothing comes is taken for lost.
+    fn silence(&self) -> Duration {
+        self.route.target_latency * SILENCE
+    }
+
     fn is_eligible(&self, live: &Rc<Live>, now: Instant) -> bool {
         let workspace_homes = self.workspace.map_or(&[][..], |workspace| &workspace.homes);
         live.is_usable(now)
@@ -171,9 +195,9 @@
         let request = self.outgoing(live, left);
         let ticket = live.ticket(now);
         self.tries.servers.push(Rc::clone(live));
-        let outcome = upstream::send(live, &request, &self.state.names, self.deadline).await;
+        let outcome = self.exchange(live, &request).await;
         if let Outcome::Answered(answered) = &outcome {
-            self.note_answer(live, answered);
+            self.note_answer(live, answered, now.elapsed());
         }
         drop(ticket);
         self.state
@@ -182,6 +206,26 @@
         self.judge(live, outcome)
     }
 
+    /// Sends the request to `live`. An idempotent one does not wait for a server that has fallen
+    /// silent if another could still answer.
+    async fn exchange(&self, live: &Rc<Live>, request: &Outgoing) -> Outcome {
+        let send = upstream::send(live, request, &self.state.names, self.deadline);
+        if self.route.kind != Kind::Idempotent || self.tries.sent + 1 >= self.route.max_attempts {
+            return send.await;
+        }
+        let mut send = std::pin::pin!(send);
+        loop {
+            if let Ok(outcome) = timeout(self.silence(), &mut send).await {
+                return outcome;
+            }
+            let now = Instant::now();
+            let is_silent = live.health.borrow().is_silent(self.silence(), now);
+            if is_silent && self.is_worth_another() {
+                return Outcome::Broken("nothing came".to_owned());
+            }
+        }
+    }
+
     fn outgoing(&self, live: &Live, left: Duration) -> Outgoing {
         let head = &self.incoming.head;
         let names = &self.state.names;
@@ -196,8 +240,10 @@
         }
     }
 
-    fn note_answer(&self, live: &Live, answered: &Answered) {
-        live.note_answer();
+    fn note_answer(&self, live: &Live, answered: &Answered, took: Duration) {
+        let failed = answered.head.status >= 500;
+        let usual = self.state.servers.borrow().usual(self.service);
+        live.note_answer(took, failed, usual, Instant::now());
         if !self.state.quarantine.is_empty() {
             let fingerprint = fingerprint(self.incoming, self.workspace);
             self.state.quarantine.note_answer(fingerprint, live.addr);
@@ -256,6 +302,9 @@
             Outcome::TimedOut => {
                 self.tries.sent += 1;
                 self.tries.may_have_run = true;
+                if !self.is_well(live, Instant::now()) {
+                    self.note_failure(live, "nothing came in time");
+                }
                 Err(Refusal::TimedOut)
             }
         }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -49,8 +49,6 @@
 /// Bounds that the fleet keeps to.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
-    /// Time between a backend server's heartbeats.
-    pub heartbeat: Duration,
     /// Longest time from a stop signal to the end of the process.
     pub grace: Duration,
     /// Longest time that an answer to a look-up may be kept.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -275,6 +275,16 @@
         ready.collect()
     }
 
+    /// Returns the number of entry VMs in `zone` that serve callers, at least 1.
+    #[must_use]
+    pub fn vms_in(&self, zone: &str) -> f64 {
+        let board = self.board.borrow();
+        let others = board.ready(&self.picture.borrow());
+        let others = others.iter().filter(|(_, peer)| peer.zone == zone).count();
+        let own = usize::from(self.settings.zone == zone);
+        steer::real((others + own).max(1))
+    }
+
     /// Returns the state services of entry VMs that know more of the store.
     #[must_use]
     pub fn ahead(&self) -> Vec<SocketAddr> {
