--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -18,13 +18,16 @@
 use crate::state::State;
 use crate::trail::attempt_of;
 use crate::upstream::{self, Answered, Outcome, Outgoing};
-use tokio::time::timeout;
 
 /// Most servers that are tried without a byte sent.
 const MAX_UNREACHED: u32 = 3;
 
-/// Factor on a route's target latency after which a server from which nothing comes is lost.
-const SILENCE: u32 = 2;
+/// Statuses by which a server says that it failed, and not that it was late or full.
+const FAILURES: [u16; 3] = [500, 501, 502];
+
+/// Part of a route's time after which a server from which nothing comes is taken for lost. Under
+/// overload, a server that works well may have nothing for one entry VM for half of that time.
+const SILENCE: f64 = 0.75;
 
 /// Shortest time after which a refused caller may come again.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
@@ -154,7 +157,7 @@
 
     /// Returns the time after which a server from which nothing comes is taken for lost.
     fn silence(&self) -> Duration {
-        self.route.target_latency * SILENCE
+        self.route.timeout.mul_f64(SILENCE)
     }
 
     fn is_eligible(&self, live: &Rc<Live>, now: Instant) -> bool {
@@ -195,7 +198,7 @@
         let request = self.outgoing(live, left);
         let ticket = live.ticket(now);
         self.tries.servers.push(Rc::clone(live));
-        let outcome = self.exchange(live, &request).await;
+        let outcome = upstream::send(live, &request, &self.state.names, self.deadline).await;
         if let Outcome::Answered(answered) = &outcome {
             self.note_answer(live, answered, now.elapsed());
         }
@@ -206,26 +209,6 @@
         self.judge(live, outcome)
     }
 
-    /// Sends the request to `live`. An idempotent one does not wait for a server that has fallen
-    /// silent if another could still answer.
-    async fn exchange(&self, live: &Rc<Live>, request: &Outgoing) -> Outcome {
-        let send = upstream::send(live, request, &self.state.names, self.deadline);
-        if self.route.kind != Kind::Idempotent || self.tries.sent + 1 >= self.route.max_attempts {
-            return send.await;
-        }
-        let mut send = std::pin::pin!(send);
-        loop {
-            if let Ok(outcome) = timeout(self.silence(), &mut send).await {
-                return outcome;
-            }
-            let now = Instant::now();
-            let is_silent = live.health.borrow().is_silent(self.silence(), now);
-            if is_silent && self.is_worth_another() {
-                return Outcome::Broken("nothing came".to_owned());
-            }
-        }
-    }
-
     fn outgoing(&self, live: &Live, left: Duration) -> Outgoing {
         let head = &self.incoming.head;
         let names = &self.state.names;
@@ -241,7 +224,7 @@
     }
 
     fn note_answer(&self, live: &Live, answered: &Answered, took: Duration) {
-        let failed = answered.head.status >= 500;
+        let failed = FAILURES.contains(&answered.head.status);
         let usual = self.state.servers.borrow().usual(self.service);
         live.note_answer(took, failed, usual, Instant::now());
         if !self.state.quarantine.is_empty() {
--- a/crates/steer/src/health.rs
+++ b/crates/steer/src/health.rs
@@ -17,7 +17,7 @@
 const SLOW: f64 = 3.5;
 
 /// Weight of the latest answer in the part of failures.
-const WEIGHT: f64 = 0.15;
+const WEIGHT: f64 = 0.1;
 
 /// Part of failures beyond the other servers' from which a server is failing.
 const FAILING: f64 = 0.25;
