--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -22,13 +22,6 @@
 /// Most servers that are tried without a byte sent.
 const MAX_UNREACHED: u32 = 3;
 
-/// Statuses by which a server says that it failed, and not that it was late or full.
-const FAILURES: [u16; 3] = [500, 501, 502];
-
-/// Part of a route's time after which a server from which nothing comes is taken for lost. Under
-/// overload, a server that works well may have nothing for one entry VM for half of that time.
-const SILENCE: f64 = 0.75;
-
 /// Shortest time after which a refused caller may come again.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -118,13 +111,10 @@
         let servers = self.state.servers.borrow();
         let is_eligible = |live: &&Rc<Live>| self.is_eligible(live, now);
         let all = servers.of(self.service).iter().filter(is_eligible);
-        let mut eligible: Vec<&Rc<Live>> = all.collect();
+        let eligible: Vec<&Rc<Live>> = all.collect();
         if eligible.is_empty() {
             return Err(self.truth(Refusal::NoServer(retry_after())));
         }
-        if eligible.iter().any(|live| self.is_well(live, now)) {
-            eligible.retain(|live| self.is_well(live, now));
-        }
         let candidate = |live: &&Rc<Live>| Candidate {
             server: live.hash,
             distance: live.distance,
@@ -149,17 +139,6 @@
         live.load(now) * self.state.vms_in(&live.zone)
     }
 
-    /// Returns whether a server answers as the others of its service do.
-    fn is_well(&self, live: &Live, now: Instant) -> bool {
-        let health = live.health.borrow();
-        !health.is_avoided(now) && !health.is_silent(self.silence(), now)
-    }
-
-    /// Returns the time after which a server from which nothing comes is taken for lost.
-    fn silence(&self) -> Duration {
-        self.route.timeout.mul_f64(SILENCE)
-    }
-
     fn is_eligible(&self, live: &Rc<Live>, now: Instant) -> bool {
         let workspace_homes = self.workspace.map_or(&[][..], |workspace| &workspace.homes);
         live.is_usable(now)
@@ -200,7 +179,7 @@
         self.tries.servers.push(Rc::clone(live));
         let outcome = upstream::send(live, &request, &self.state.names, self.deadline).await;
         if let Outcome::Answered(answered) = &outcome {
-            self.note_answer(live, answered, now.elapsed());
+            self.note_answer(live, answered);
         }
         drop(ticket);
         self.state
@@ -223,10 +202,8 @@
         }
     }
 
-    fn note_answer(&self, live: &Live, answered: &Answered, took: Duration) {
-        let failed = FAILURES.contains(&answered.head.status);
-        let usual = self.state.servers.borrow().usual(self.service);
-        live.note_answer(took, failed, usual, Instant::now());
+    fn note_answer(&self, live: &Live, answered: &Answered) {
+        live.note_answer();
         if !self.state.quarantine.is_empty() {
             let fingerprint = fingerprint(self.incoming, self.workspace);
             self.state.quarantine.note_answer(fingerprint, live.addr);
@@ -285,9 +262,6 @@
             Outcome::TimedOut => {
                 self.tries.sent += 1;
                 self.tries.may_have_run = true;
-                if !self.is_well(live, Instant::now()) {
-                    self.note_failure(live, "nothing came in time");
-                }
                 Err(Refusal::TimedOut)
             }
         }
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -8,7 +8,6 @@
 
 use fleet::{Phase, Server, ServerId};
 use steer::cold::Cold;
-use steer::health::{Health, Usual, usual};
 use steer::place::{Distance, hash};
 
 use crate::upstream::Idle;
@@ -45,8 +44,6 @@
     pub ready: Cell<bool>,
     /// Its warmth.
     pub cold: RefCell<Cold>,
-    /// How it answered lately.
-    pub health: RefCell<Health>,
     /// Idle connections, the latest last.
     pub idle: RefCell<Vec<Idle>>,
     in_flight: Cell<u32>,
@@ -75,11 +72,7 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        let in_flight = self.0.in_flight.get() - 1;
-        self.0.in_flight.set(in_flight);
-        if in_flight == 0 {
-            self.0.health.borrow_mut().note_idle();
-        }
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
     }
 }
 
@@ -108,7 +101,6 @@
             slots: Cell::new(entry.slots),
             ready: Cell::new(entry.phase == Phase::Ready),
             cold: RefCell::new(cold),
-            health: RefCell::default(),
             idle: RefCell::default(),
             in_flight: Cell::new(0),
             told: Cell::new(None),
@@ -121,7 +113,6 @@
     pub fn ticket(self: &Rc<Self>, now: Instant) -> Ticket {
         self.in_flight.set(self.in_flight.get() + 1);
         self.cold.borrow_mut().note_sent(now);
-        self.health.borrow_mut().note_sent(now);
         Ticket(Rc::clone(self))
     }
 
@@ -163,15 +154,9 @@
         self.cold.borrow().says_cold(now)
     }
 
-    /// Notes an answer after `latency`; `failed` says that it was a failure of the server's own.
-    /// What a cold server takes says nothing of its health.
-    pub fn note_answer(&self, latency: Duration, failed: bool, usual: Usual, now: Instant) {
+    /// Notes an answer.
+    pub fn note_answer(&self) {
         self.down.set(None);
-        let is_cold = self.cold.borrow().is_cold(now);
-        let usual = if is_cold { Usual::default() } else { usual };
-        self.health
-            .borrow_mut()
-            .note_answer(latency, failed, usual, now);
     }
 
     /// Returns whether the server ever told its load.
@@ -196,15 +181,6 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns how the servers of `service` usually answer.
-    #[must_use]
-    pub fn usual(&self, service: &str) -> Usual {
-        usual(self.of(service).iter().map(|live| {
-            let health = live.health.borrow();
-            (health.latency_ms(), health.failures())
-        }))
-    }
-
     /// Returns the names of the services.
     pub fn services(&self) -> impl Iterator<Item = &String> {
         self.by_service.keys()
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod budget;
 pub mod cold;
-pub mod health;
 pub mod place;
 pub mod quota;
 pub mod spill;
