--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -40,6 +40,8 @@
     NoKey,
     /// The workspace has used up its rate.
     OverRate(Duration),
+    /// There is no memory for its body.
+    NoMemory(Duration),
     /// No backend server has room.
     NoRoom(Duration),
     /// No backend server may take it now.
@@ -65,7 +67,8 @@
             Self::OverRate(_) => 429,
             Self::HeadTooLarge => 431,
             Self::Lost => 502,
-            Self::Starting
+            Self::NoMemory(_)
+            | Self::Starting
             | Self::Leaving
             | Self::NoRoom(_)
             | Self::NoServer(_)
@@ -87,6 +90,7 @@
             Self::NoRoute => "no-route",
             Self::NoKey => "no-key",
             Self::OverRate(_) => "over-rate",
+            Self::NoMemory(_) => "no-memory",
             Self::NoRoom(_) => "no-room",
             Self::NoServer(_) => "no-server",
             Self::Quarantined => "quarantined",
@@ -97,7 +101,10 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::OverRate(after) | Self::NoRoom(after) | Self::NoServer(after) => Some(after),
+            Self::OverRate(after)
+            | Self::NoMemory(after)
+            | Self::NoRoom(after)
+            | Self::NoServer(after) => Some(after),
             Self::Starting => Some(Duration::from_millis(300)),
             Self::Leaving => Some(Duration::from_millis(50)),
             _ => None,
@@ -108,7 +115,11 @@
     fn closes(self) -> bool {
         matches!(
             self,
-            Self::Malformed | Self::HeadTooLarge | Self::BodyTooLarge | Self::TooSlow
+            Self::Malformed
+                | Self::HeadTooLarge
+                | Self::BodyTooLarge
+                | Self::NoMemory(_)
+                | Self::TooSlow
         )
     }
 }
--- a/crates/entry/src/balance.rs
+++ b/crates/entry/src/balance.rs
@@ -55,7 +55,7 @@
             };
             let others = self.others(workspace);
             let account = accounts.entry(workspace.name.clone());
-            let account = account.or_insert_with(|| Account::new(rate, now));
+            let account = account.or_insert_with(|| Account::new(rate, others.vms, now));
             account.rebalance(rate, others, elapsed_s, now);
         }
         accounts.retain(|name, _| seen.contains(name.as_str()));
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -19,6 +19,7 @@
 use crate::answer::{Refusal, Reply};
 use crate::body::{Collector, Unusable};
 use crate::head::{Framing, Malformed, Request};
+use crate::held::{Held, Room};
 use crate::state::State;
 use crate::{lookup, neighbour, serve};
 
@@ -31,6 +32,9 @@
 /// Bytes reserved for each read.
 const READ_BYTES: usize = 4 << 10;
 
+/// Time after which a caller may come again whose body there was no memory for.
+const MEMORY_RETRY: Duration = Duration::from_millis(400);
+
 /// Longest time that a caller may take nothing of an answer.
 const WRITE: Duration = Duration::from_secs(10);
 
@@ -62,6 +66,8 @@
     pub body: Bytes,
     /// When its head was whole.
     pub since: Instant,
+    /// Memory that its body holds.
+    _hold: Held,
 }
 
 /// Serves a connection until either side ends it.
@@ -70,7 +76,7 @@
         state.metrics.note_socket_error();
     }
     let (mut reader, mut writer) = stream.split();
-    let mut inbound = Inbound::new(state.limits());
+    let mut inbound = Inbound::new(state.limits(), state.room.clone());
     let mut replies: FuturesOrdered<LocalBoxFuture<'static, Reply>> = FuturesOrdered::new();
     let mut is_last = false;
     loop {
@@ -164,14 +170,23 @@
 /// Requests as they arrive on a connection.
 struct Inbound {
     limits: Limits,
+    room: Room,
     buffer: BytesMut,
     /// A head whose body is still arriving.
-    partial: Option<(Request, Collector, Instant)>,
+    partial: Option<Partial>,
     /// When the current request began, or the connection became idle.
     since: Instant,
     is_asked: bool,
 }
 
+/// A request whose body is still arriving.
+struct Partial {
+    head: Request,
+    collector: Collector,
+    since: Instant,
+    hold: Held,
+}
+
 /// What has arrived.
 enum Next {
     Partial,
@@ -180,9 +195,10 @@
 }
 
 impl Inbound {
-    fn new(limits: Limits) -> Self {
+    fn new(limits: Limits, room: Room) -> Self {
         Self {
             limits,
+            room,
             buffer: BytesMut::new(),
             partial: None,
             since: Instant::now(),
@@ -230,10 +246,11 @@
 
     /// Returns whether the caller waits for a word before it sends a body; true once.
     fn wants_continue(&mut self) -> bool {
-        let Some((head, collector, _)) = &self.partial else {
+        let Some(partial) = &self.partial else {
             return false;
         };
-        let waits = head.fields.has_token("expect", "100-continue") && collector.len() == 0;
+        let fields = &partial.head.fields;
+        let waits = fields.has_token("expect", "100-continue") && partial.collector.len() == 0;
         waits && !std::mem::replace(&mut self.is_asked, true)
     }
 
@@ -250,22 +267,24 @@
         if self.partial.is_none() && !self.begin()? {
             return Ok(None);
         }
-        let Some((_, collector, _)) = &mut self.partial else {
+        let Some(partial) = &mut self.partial else {
             return Ok(None);
         };
-        collector.take(&mut self.buffer)?;
-        if !collector.is_whole() {
-            return Ok(None);
+        partial.collector.take(&mut self.buffer)?;
+        if !partial.hold.grow_to(partial.collector.len() as u64) {
+            return Err(Refusal::NoMemory(MEMORY_RETRY));
         }
-        let Some((head, collector, since)) = self.partial.take() else {
+        let whole = self.partial.take_if(|partial| partial.collector.is_whole());
+        let Some(partial) = whole else {
             return Ok(None);
         };
         self.since = Instant::now();
         self.is_asked = false;
         Ok(Some(Incoming {
-            head,
-            body: collector.into_body(),
-            since,
+            head: partial.head,
+            body: partial.collector.into_body(),
+            since: partial.since,
+            _hold: partial.hold,
         }))
     }
 
@@ -285,7 +304,18 @@
             return Err(Refusal::Malformed);
         }
         let collector = Collector::new(framing, self.limits.body_bytes)?;
-        self.partial = Some((head, collector, Instant::now()));
+        let mut hold = self.room.hold();
+        if let Framing::Length(length) = framing
+            && !hold.grow_to(length)
+        {
+            return Err(Refusal::NoMemory(MEMORY_RETRY));
+        }
+        self.partial = Some(Partial {
+            head,
+            collector,
+            since: Instant::now(),
+            hold,
+        });
         Ok(true)
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod copy;
 mod daemon;
 mod head;
+mod held;
 mod job;
 mod lookup;
 pub mod metrics;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::copy::Copy;
+use crate::held::Room;
 use crate::metrics::Metrics;
 use crate::names::Names;
 use crate::peers;
@@ -47,6 +48,8 @@
     pub busy: RefCell<HashMap<String, f64>>,
     /// Requests that crash backend servers.
     pub quarantine: Quarantine,
+    /// Memory for request bodies.
+    pub room: Room,
     /// Metrics.
     pub metrics: Metrics,
     /// What is known of the fleet, this VM included.
@@ -90,6 +93,7 @@
     pub fn new(settings: Settings, names: Names) -> Self {
         let (phase, _) = watch::channel(Phase::Serving);
         let board = peers::board(&settings);
+        let room = Room::new(settings.memory_bytes);
         Self {
             settings,
             names,
@@ -102,6 +106,7 @@
             spills: RefCell::default(),
             busy: RefCell::default(),
             quarantine: Quarantine::default(),
+            room,
             metrics: Metrics::default(),
             config: RefCell::default(),
             roster: RefCell::default(),
--- a/crates/ops/src/cli.rs
+++ b/crates/ops/src/cli.rs
@@ -152,6 +152,12 @@
     /// Tell where a caller's requests would go and why
     Explain(ExplainArgs),
 
+    /// Follow one request through the logs of entry VMs
+    ///
+    /// Reads the JSON lines that entry VMs log and prints those on the request, and on the backend
+    /// servers that it was sent to, in order of time. Needs no connection.
+    Trace(TraceArgs),
+
     /// Print a completion script for a shell
     Completions {
         /// Shell
@@ -167,6 +173,17 @@
     },
 }
 
+/// Arguments of `trace`.
+#[derive(Debug, Args)]
+pub struct TraceArgs {
+    /// Number of the caller's attempt
+    pub request: String,
+
+    /// Logs, one for each VM; - reads standard input
+    #[arg(value_hint = ValueHint::FilePath, default_value = "-")]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Arguments of `diff`.
 #[derive(Debug, Args)]
 pub struct DiffArgs {
--- a/crates/ops/src/command/mod.rs
+++ b/crates/ops/src/command/mod.rs
@@ -11,3 +11,4 @@
 pub mod key;
 pub mod show;
 pub mod status;
+pub mod trace;
--- a/crates/ops/src/run.rs
+++ b/crates/ops/src/run.rs
@@ -4,7 +4,7 @@
 
 use crate::cli::{Cli, Command};
 use crate::command::{
-    apply, burn, check, diff, drain, explain, generate, history, key, show, status,
+    apply, burn, check, diff, drain, explain, generate, history, key, show, status, trace,
 };
 use crate::config::Config;
 use crate::exit::Exit;
@@ -37,6 +37,7 @@
         Command::Drain(command) => drain::run(command, &config, output),
         Command::Status => status::run(&config, output),
         Command::Burn(args) => burn::run(args, &config, output),
+        Command::Trace(args) => trace::run(args, output),
         Command::Explain(args) => explain::run(args, &config, output),
         Command::Completions { shell } => generate::completions(*shell),
         Command::Man { dir } => generate::man(dir),
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -14,14 +14,14 @@
 use crate::window::real;
 
 /// Part of a VM's even share that it uses while it hears of no other.
-const STANDING: f64 = 0.6;
+const STANDING: f64 = 0.9;
 
 /// Demand that each VM is taken to have beside its own, as a part of its even share, so that a VM
 /// that callers move to can serve them before it has told of them.
 const EXPECTED: f64 = 0.5;
 
 /// Part of the burst that a new process starts with, since others may have used the rest.
-const FIRST_TOKENS: f64 = 0.3;
+const FIRST_TOKENS: f64 = 0.5;
 
 /// Weight of the latest interval in the running demand.
 const LATEST: f64 = 0.4;
@@ -84,14 +84,15 @@
 }
 
 impl Account {
-    /// Creates an account.
+    /// Creates the account of one of `vms` entry VMs. It begins with an even part of the burst: a
+    /// process takes longer to start than the rate takes to refill that part.
     #[must_use]
-    pub fn new(rate: Rate, now: Instant) -> Self {
+    pub fn new(rate: Rate, vms: usize, now: Instant) -> Self {
         Self {
             rate,
             others: Others::default(),
             fleet: rate.burst * FIRST_TOKENS,
-            own: 1.0,
+            own: rate.burst / real(vms.max(1)) + 1.0,
             own_per_s: rate.per_s,
             refilled: now,
             asked: 0,
--- a/crates/steer/tests/quota.rs
+++ b/crates/steer/tests/quota.rs
@@ -38,7 +38,7 @@
 impl Fleet {
     fn new(vms: usize, rate: Rate) -> Self {
         let now = Instant::now();
-        let mut accounts: Vec<Account> = (0..vms).map(|_| Account::new(rate, now)).collect();
+        let mut accounts: Vec<Account> = (0..vms).map(|_| Account::new(rate, vms, now)).collect();
         let others = Others {
             vms,
             heard: vms,
@@ -186,6 +186,26 @@
     );
 }
 
+/// Load pattern: all VMs start anew and hear of nobody for a second, while callers come back.
+#[test]
+fn callers_that_come_back_after_a_restart_are_not_refused() {
+    let rate = Rate {
+        per_s: 300.0,
+        burst: 300.0,
+    };
+    let mut fleet = Fleet::new(12, rate);
+    for tick in 0..10 {
+        let cut = if tick < 3 { 0 } else { 12 };
+        fleet.tick(&[300.0 * 0.8 / 12.0; 12], cut);
+    }
+    let refused = fleet.asked - fleet.admitted.len();
+    assert!(
+        refused * 100 <= fleet.asked,
+        "{refused} of {} refused",
+        fleet.asked
+    );
+}
+
 #[test]
 fn a_lower_rate_binds_at_once() {
     let rate = Rate {
