Keep a server that broke off an answer, unless it cannot be reached

Ruled out: the callers' own refused connections. A server is now down only if a connection cannot be made.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -239,6 +239,7 @@
                 Ok(Step::Done(answered))
             }
             Outcome::Unreached(problem) => {
+                live.note_unreached(Instant::now());
                 self.note_failure(live, &problem);
                 self.tries.unreached += 1;
                 if self.tries.unreached >= MAX_UNREACHED {
@@ -249,6 +250,7 @@
             Outcome::Broken(problem) => {
                 self.tries.sent += 1;
                 self.tries.may_have_run = true;
+                live.note_broken();
                 self.note_failure(live, &problem);
                 quarantine::look(self.state, live, fingerprint(self.incoming, self.workspace));
                 if may_repeat
@@ -279,7 +281,6 @@
     }
 
     fn note_failure(&self, live: &Live, problem: &str) {
-        live.note_unreached(Instant::now());
         event::emit(&Event::BackendFailed {
             request: attempt_of(self.state, &self.incoming.head),
             service: self.service.to_owned(),
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -6,7 +6,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use event::Event;
 use fleet::report::Crash;
@@ -122,6 +122,7 @@
         if matches!(accepted, Ok(Ok(_))) {
             return;
         }
+        live.note_unreached(Instant::now());
         state
             .quarantine
             .note(fingerprint, live.addr, Ending::Broken);
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -136,7 +136,12 @@
         self.ready.get() && self.down.get().is_none_or(|down| now >= down.until)
     }
 
-    /// Notes that it could not be reached, or broke off a request.
+    /// Notes that it broke off a request, so that its other connections may be broken too.
+    pub fn note_broken(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Notes that it could not be reached.
     pub fn note_unreached(&self, now: Instant) {
         let pause = self
             .down
