Read settings anew, and learn how long idle connections may be used

- SIGHUP and every 5 s: changed bounds are in force at once, a broken file changes nothing.
- A metrics port that is taken no longer stops the daemon.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -8,7 +8,7 @@
 use eyre::WrapErr;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::accept;
 use crate::caller::Role;
@@ -28,19 +28,32 @@
 /// Time between two looks at the requests in flight.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// Runs the daemon until it is told to stop.
+/// Time between two readings of the settings, which may change without a signal.
+const REREAD: Duration = Duration::from_secs(5);
+
+/// Runs the daemon until it is told to stop. `reread` reads the settings anew.
 ///
 /// # Errors
 ///
 /// Fails if an address cannot be bound.
-pub fn run<S: Store + 'static>(settings: Settings, names: Names, store: S) -> eyre::Result<()> {
+pub fn run<S: Store + 'static>(
+    settings: Settings,
+    names: Names,
+    store: S,
+    reread: impl Fn() -> eyre::Result<Settings>,
+) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, serve(settings, names, store))
+    LocalSet::new().block_on(&runtime, serve(settings, names, store, reread))
 }
 
-async fn serve<S: Store + 'static>(settings: Settings, names: Names, store: S) -> eyre::Result<()> {
+async fn serve<S: Store + 'static>(
+    settings: Settings,
+    names: Names,
+    store: S,
+    reread: impl Fn() -> eyre::Result<Settings>,
+) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let listen = settings.listen.clone();
@@ -53,16 +66,22 @@
     start(&state, listen.ready, Role::Ready)?;
     start(&state, listen.lookups, Role::Lookups)?;
     start(&state, listen.state, Role::State)?;
-    start(&state, listen.metrics, Role::Metrics)?;
+    if let Err(error) = start(&state, listen.metrics, Role::Metrics) {
+        let error = format!("{error:#}");
+        event::emit(&Event::MetricsNotServed { error });
+    }
     let (reader, announcer) = (store.another(), store);
     spawn_local(sync::run(Rc::clone(&state), reader));
     spawn_local(sync::announce(Rc::clone(&state), announcer));
     let peers = spawn_local(peers::run(Rc::clone(&state)));
     tokio::pin!(peers);
+    let mut rereads = interval(REREAD);
+    rereads.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => event::emit(&Event::SettingsKept { vm: state.settings.vm.clone() }),
+            _ = reload.recv() => reload_settings(&state, reread(), true),
+            _ = rereads.tick() => reload_settings(&state, reread(), false),
             ended = &mut peers => {
                 ended?.wrap_err("messages between entry VMs")?;
             }
@@ -72,6 +91,22 @@
     Ok(())
 }
 
+/// Puts the bounds of settings that were read anew in force. What a process is bound to, such as its
+/// addresses, stays until it starts again.
+fn reload_settings(state: &State, read: eyre::Result<Settings>, is_asked: bool) {
+    match read {
+        Ok(settings) => {
+            let changed = state.set_bounds(settings.bounds);
+            if changed || is_asked {
+                event::emit(&Event::SettingsRead { changed });
+            }
+        }
+        Err(error) => event::emit(&Event::SettingsUnreadable {
+            error: format!("{error:#}"),
+        }),
+    }
+}
+
 fn start(state: &Rc<State>, addr: Option<SocketAddr>, role: Role) -> eyre::Result<()> {
     let Some(addr) = addr else { return Ok(()) };
     let listener = accept::listen(addr).wrap_err_with(|| format!("cannot listen on {addr}"))?;
@@ -81,7 +116,7 @@
 
 /// Sends callers elsewhere, finishes what has begun, and returns when the process may end.
 async fn stop(state: &State) {
-    let grace = state.settings.bounds.grace;
+    let grace = state.bounds().grace;
     let ends = Instant::now() + grace.saturating_sub(END_MARGIN);
     event::emit(&Event::EntryLeaving {
         vm: state.settings.vm.clone(),
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -17,11 +17,14 @@
 use crate::servers::Live;
 use crate::state::State;
 use crate::trail::attempt_of;
-use crate::upstream::{self, Answered, Outcome, Outgoing};
+use crate::upstream::{self, Answered, Outcome, Outgoing, Reuse};
 
 /// Most servers that are tried without a byte sent.
 const MAX_UNREACHED: u32 = 3;
 
+/// Most idle connections to one server.
+const MAX_IDLE: usize = 32;
+
 /// Shortest time after which a refused caller may come again.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -158,7 +161,7 @@
         if !cold.is_cold(now) {
             return true;
         }
-        let bounds = &self.state.settings.bounds;
+        let bounds = self.state.bounds();
         let service = self.config.services.get(self.service);
         let per_s = service.map_or(1.0, |service| service.warmup_per_s);
         let bound = per_s.mul_add(bounds.cold_factor, bounds.cold_extra);
@@ -177,7 +180,12 @@
         let request = self.outgoing(live, left);
         let ticket = live.ticket(now);
         self.tries.servers.push(Rc::clone(live));
-        let outcome = upstream::send(live, &request, &self.state.names, self.deadline).await;
+        let reuse = Reuse {
+            limit: &self.state.idle_limit,
+            most: self.most_idle(),
+        };
+        let names = &self.state.names;
+        let outcome = upstream::send(live, &request, names, &reuse, self.deadline).await;
         if let Outcome::Answered(answered) = &outcome {
             self.note_answer(live, answered);
         }
@@ -188,6 +196,15 @@
         self.judge(live, outcome)
     }
 
+    /// Returns how many idle connections to a server this entry VM may keep: half of its even part
+    /// of what the server accepts.
+    fn most_idle(&self) -> usize {
+        let service = self.config.services.get(self.service);
+        let accepted = service.map_or(0, |service| service.max_connections);
+        let vms = self.state.board.borrow().count();
+        (accepted / 2 / vms).clamp(1, MAX_IDLE)
+    }
+
     fn outgoing(&self, live: &Live, left: Duration) -> Outgoing {
         let head = &self.incoming.head;
         let names = &self.state.names;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,7 +8,7 @@
 mod balance;
 mod body;
 mod caller;
-mod copy;
+
 mod daemon;
 mod head;
 mod held;
@@ -20,6 +20,7 @@
 mod peers;
 mod quarantine;
 mod register;
+mod replica;
 mod serve;
 mod servers;
 mod settings;
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -26,8 +26,7 @@
         return Reply::refused(Refusal::Starting);
     }
     let ttl_ms = state
-        .settings
-        .bounds
+        .bounds()
         .lookup_ttl
         .as_millis()
         .min(u128::from(TTL_MS));
--- a/crates/entry/src/neighbour.rs
+++ b/crates/entry/src/neighbour.rs
@@ -66,14 +66,14 @@
 
 fn snapshot(state: &State, after: u64, read_at: Instant) -> Snapshot {
     let now = Instant::now();
-    let changes = state.copy().changes(after);
+    let changes = state.replica().changes(after);
     let is_whole = changes.is_none();
     let rejoin = state
         .rejoin_until()
         .map(|until| until.saturating_duration_since(now));
     Snapshot {
         revision: state.revision(),
-        items: changes.unwrap_or_else(|| state.copy().all()),
+        items: changes.unwrap_or_else(|| state.replica().all()),
         is_whole,
         age_ms: whole_ms(now.duration_since(read_at)),
         rejoin_ms: whole_ms(rejoin.unwrap_or_default()),
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -31,7 +31,7 @@
                 return;
             }
         }
-        self.copy.borrow_mut().put(raw, is_heartbeat);
+        self.replica.borrow_mut().put(raw, is_heartbeat);
     }
 
     /// Notes that the store answers again after an outage.
--- a/crates/entry/src/copy.rs
+++ b/crates/entry/src/replica.rs
@@ -1,4 +1,4 @@
-//! A copy of the store's keys, from which other entry VMs are brought up to date.
+//! A replica of the store's keys, from which other entry VMs are brought up to date.
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
@@ -7,9 +7,9 @@
 /// Removed keys that are remembered.
 const MAX_REMOVED: usize = 4_096;
 
-/// A copy of the store's keys.
+/// A replica of the store's keys.
 #[derive(Debug, Default)]
-pub struct Copy {
+pub struct Replica {
     /// Keys with the revision of the last change that said something new.
     keys: BTreeMap<String, (Raw, u64)>,
     /// Removed keys, the latest last.
@@ -18,7 +18,7 @@
     complete_from: u64,
 }
 
-impl Copy {
+impl Replica {
     /// Takes a key; `is_heartbeat` says that its new value says nothing new.
     pub fn put(&mut self, raw: Raw, is_heartbeat: bool) {
         if raw.value.is_none() {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,6 +1,6 @@
 //! State that all tasks of the daemon share.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,25 +11,27 @@
 use fleet::{Board, Config, Roster, Version};
 use steer::budget::Budget;
 use steer::cold::Vm;
+use steer::idle::Limit;
 use steer::quota::Account;
 use steer::spill::Spill;
 use steer::split::Split;
 use tokio::sync::watch;
 
-use crate::copy::Copy;
 use crate::held::Room;
 use crate::metrics::Metrics;
 use crate::names::Names;
 use crate::peers;
 use crate::quarantine::Quarantine;
+use crate::replica::Replica;
 use crate::servers::{Live, Servers};
-use crate::settings::Settings;
+use crate::settings::{Bounds, Settings};
 
 /// State of the daemon.
 #[derive(Debug)]
 pub struct State {
-    /// Settings in force.
+    /// Settings at the start; see [`State::bounds`] for those that may change.
     pub settings: Settings,
+    bounds: Cell<Bounds>,
     /// Header names.
     pub names: Names,
     /// Backend servers.
@@ -46,6 +48,8 @@
     pub spills: RefCell<HashMap<String, Spill>>,
     /// How busy the backend servers of this zone are, by service.
     pub busy: RefCell<HashMap<String, f64>>,
+    /// How long idle connections to backend servers may be used again.
+    pub idle_limit: Cell<Limit>,
     /// Requests that crash backend servers.
     pub quarantine: Quarantine,
     /// Memory for request bodies.
@@ -57,7 +61,7 @@
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) roster: RefCell<Roster>,
     /// Keys as the store holds them, for entry VMs that do not read it.
-    pub(crate) copy: RefCell<Copy>,
+    pub(crate) replica: RefCell<Replica>,
     /// When the state was last brought up to date.
     read_at: Cell<Option<Instant>>,
     revision: Cell<u64>,
@@ -95,6 +99,7 @@
         let board = peers::board(&settings);
         let room = Room::new(settings.memory_bytes);
         Self {
+            bounds: Cell::new(settings.bounds),
             settings,
             names,
             servers: RefCell::default(),
@@ -105,12 +110,13 @@
             splits: RefCell::default(),
             spills: RefCell::default(),
             busy: RefCell::default(),
+            idle_limit: Cell::default(),
             quarantine: Quarantine::default(),
             room,
             metrics: Metrics::default(),
             config: RefCell::default(),
             roster: RefCell::default(),
-            copy: RefCell::default(),
+            replica: RefCell::default(),
             read_at: Cell::new(None),
             revision: Cell::new(0),
             phase,
@@ -136,6 +142,17 @@
             .unwrap_or_default()
     }
 
+    /// Returns the fleet's bounds in force.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Puts other bounds in force; returns whether they differ.
+    pub fn set_bounds(&self, bounds: Bounds) -> bool {
+        self.bounds.replace(bounds) != bounds
+    }
+
     /// Returns the bounds on what callers may send.
     #[must_use]
     pub fn limits(&self) -> Limits {
@@ -166,12 +183,12 @@
 
     /// Notes that all keys are known as of `revision`.
     pub fn note_listed(&self, revision: u64) {
-        self.copy.borrow_mut().note_listed(revision);
+        self.replica.borrow_mut().note_listed(revision);
     }
 
-    /// Returns the copy of the store's keys.
-    pub fn copy(&self) -> std::cell::Ref<'_, Copy> {
-        self.copy.borrow()
+    /// Returns the replica of the store's keys.
+    pub fn replica(&self) -> Ref<'_, Replica> {
+        self.replica.borrow()
     }
 
     /// Returns whether the daemon can serve callers.
@@ -307,10 +324,11 @@
     pub fn take_repeat(&self, service: &str) -> bool {
         let vms = self.board.borrow().count();
         let mut budgets = self.budgets.borrow_mut();
-        let bound = self.settings.bounds.repeats;
+        let bound = self.bounds().repeats;
         let budget = budgets
             .entry(service.to_owned())
             .or_insert_with(|| Budget::new(bound));
+        budget.set_bound(bound);
         budget.take(vms, Instant::now())
     }
 
@@ -322,7 +340,7 @@
             budget.note_request(now);
             return;
         }
-        let mut budget = Budget::new(self.settings.bounds.repeats);
+        let mut budget = Budget::new(self.bounds().repeats);
         budget.note_request(now);
         budgets.insert(service.to_owned(), budget);
     }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -209,7 +209,7 @@
 /// Puts `items` in the place of all that was known.
 fn replace<S: Store>(state: &State, store: &S, items: Vec<Raw>, revision: u64) {
     let listed: HashSet<String> = items.iter().map(|raw| raw.key.clone()).collect();
-    let unlisted = state.copy().unlisted(&listed);
+    let unlisted = state.replica().unlisted(&listed);
     let gone = unlisted.into_iter().map(|key| Raw {
         key,
         value: None,
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -1,10 +1,12 @@
 //! Sending a request to a backend server.
 
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
+use steer::idle::Limit;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
@@ -27,9 +29,6 @@
 /// Time that an idle connection is kept if the server names none.
 const IDLE: Duration = Duration::from_millis(500);
 
-/// Most idle connections to one server.
-const MAX_IDLE: usize = 32;
-
 /// Bytes reserved for each read.
 const READ_BYTES: usize = 8 << 10;
 
@@ -75,19 +74,32 @@
 #[derive(Debug)]
 pub struct Idle {
     stream: TcpStream,
+    since: Instant,
     until: Instant,
 }
 
+/// How connections are used again.
+#[derive(Debug)]
+pub struct Reuse<'a> {
+    /// How long they may have been idle.
+    pub limit: &'a Cell<Limit>,
+    /// Most idle connections to one server.
+    pub most: usize,
+}
+
 /// Sends `request` to `server` and waits for the answer until `deadline`. Dropping the future
 /// closes the connection, which tells the server that nobody waits.
 pub async fn send(
     server: &Rc<Live>,
     request: &Outgoing,
     names: &Names,
+    reuse: &Reuse<'_>,
     deadline: Instant,
 ) -> Outcome {
-    let connected = match take_idle(server) {
-        Some(stream) => Ok(stream),
+    let idle = take_idle(server, reuse.limit);
+    let idle_for = idle.as_ref().map(|idle| idle.since.elapsed());
+    let connected = match idle {
+        Some(idle) => Ok(idle.stream),
         None => connect(server, deadline).await,
     };
     let stream = match connected {
@@ -97,10 +109,18 @@
     let exchange = exchange(stream, request, names);
     match timeout_at(deadline.into(), exchange).await {
         Err(_) => Outcome::TimedOut,
-        Ok(Err(problem)) => Outcome::Broken(problem),
+        Ok(Err(broken)) => {
+            if let Some(idle_for) = idle_for.filter(|_| !broken.has_begun) {
+                let now = Instant::now();
+                let mut limit = reuse.limit.get();
+                limit.note_reset(idle_for, now);
+                reuse.limit.set(limit);
+            }
+            Outcome::Broken(broken.problem)
+        }
         Ok(Ok(done)) => {
             if let Some(stream) = done.stream {
-                keep(server, stream, &done.answered.head.fields);
+                keep(server, stream, &done.answered.head.fields, reuse.most);
             }
             Outcome::Answered(done.answered)
         }
@@ -118,27 +138,33 @@
 }
 
 /// Takes the latest idle connection on which nothing has arrived since.
-fn take_idle(server: &Live) -> Option<TcpStream> {
+fn take_idle(server: &Live, limit: &Cell<Limit>) -> Option<Idle> {
     let now = Instant::now();
     let mut idle = server.idle.borrow_mut();
     while let Some(connection) = idle.pop() {
         let mut byte = [0];
         let read = connection.stream.try_read(&mut byte);
         let is_quiet = read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
-        if is_quiet && now < connection.until {
-            return Some(connection.stream);
+        let age = now.duration_since(connection.since);
+        if is_quiet && now < connection.until && limit.get().allows(age, now) {
+            return Some(connection);
         }
     }
     None
 }
 
-fn keep(server: &Live, stream: TcpStream, fields: &Fields) {
+fn keep(server: &Live, stream: TcpStream, fields: &Fields, most: usize) {
     let told = fields.text("keep-alive").and_then(timeout_of);
     let span = told.map_or(IDLE, |told| told.mul_f64(0.7));
-    let until = Instant::now() + span;
+    let since = Instant::now();
+    let until = since + span;
     let mut idle = server.idle.borrow_mut();
-    if idle.len() < MAX_IDLE && server.ready.get() {
-        idle.push(Idle { stream, until });
+    if idle.len() < most && server.ready.get() {
+        idle.push(Idle {
+            stream,
+            since,
+            until,
+        });
     }
 }
 
@@ -155,11 +181,18 @@
     stream: Option<TcpStream>,
 }
 
+/// Why there is no usable answer.
+struct Broken {
+    problem: String,
+    /// Whether a byte of an answer had arrived.
+    has_begun: bool,
+}
+
 async fn exchange(
     mut stream: TcpStream,
     request: &Outgoing,
     names: &Names,
-) -> Result<Done, String> {
+) -> Result<Done, Broken> {
     let (mut reader, mut writer) = stream.split();
     let mut rest = request.head.clone().chain(request.body.clone());
     let mut receiver = Receiver::new(request, names);
@@ -167,7 +200,13 @@
     let answered = loop {
         tokio::select! {
             biased;
-            answer = receiver.receive(&mut reader) => break answer?,
+            answer = receiver.receive(&mut reader) => match answer {
+                Ok(answered) => break answered,
+                Err(problem) => {
+                    let has_begun = receiver.has_begun;
+                    return Err(Broken { problem, has_begun });
+                }
+            },
             written = writer.write_buf(&mut rest), if writing => {
                 // A server may answer although it takes no more of the body, so a failed write
                 // alone decides nothing.
@@ -192,6 +231,8 @@
     partial: Option<(head::Answer, Collector)>,
     /// Whether only the answer to the request has arrived.
     is_clean: bool,
+    /// Whether any byte has arrived.
+    has_begun: bool,
 }
 
 impl<'a> Receiver<'a> {
@@ -202,6 +243,7 @@
             buffer: BytesMut::new(),
             partial: None,
             is_clean: true,
+            has_begun: false,
         }
     }
 
@@ -219,6 +261,7 @@
             if read.map_err(|error| error.to_string())? == 0 {
                 return self.finish();
             }
+            self.has_begun = true;
         }
     }
 
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -66,7 +66,7 @@
     3001 info EntryStarted { vm: String, zone: String } "An entry VM's daemon accepts callers.";
     3002 info EntryLeaving { vm: String } "The daemon was told to stop and sends callers elsewhere.";
     3003 info EntryStopped { vm: String, cut: u64 } "The daemon has stopped; `cut` counts requests that were cut off.";
-    3004 info SettingsKept { vm: String } "The daemon was told that its settings changed; nothing that it uses did.";
+    3004 info SettingsRead { changed: bool } "The settings were read anew; `changed` says whether a bound in force did.";
     3005 info ServerJoined { server: String, service: String, zone: String, backend: SocketAddr } "A backend server's incarnation was registered.";
     3006 info ServerLeaving { server: String } "A backend server takes no new work.";
     3007 info ServerGone { server: String } "A backend server's registration is gone.";
@@ -76,4 +76,6 @@
     3011 info RequestEnded { request: String, status: u16, reason: String, route: String, service: String, server: String, sent: u32, config: u64, ms: u64 } "A request was answered; successes are sampled.";
     3012 error ServerCrashed { server: String, fingerprint: String } "A backend server cannot be reached right after it broke off a request.";
     3013 warn LinesDropped { lines: u64 } "Standard output was not read in time, so lines were left out; `lines` counts them since the start.";
+    3014 warn SettingsUnreadable { error: String } "The settings cannot be read anew; the earlier ones stay in force.";
+    3015 warn MetricsNotServed { error: String } "The metrics' address cannot be bound; the daemon goes on.";
 }
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -58,6 +58,8 @@
     pub warmup: Duration,
     /// Requests a second that a cold backend server takes.
     pub warmup_per_s: f64,
+    /// Connections that a backend server accepts from all callers together.
+    pub max_connections: usize,
 }
 
 /// What may be repeated.
--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -47,6 +47,11 @@
         self.requests.note(now);
     }
 
+    /// Puts another bound in force; the window stays as it was.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.bound = bound;
+    }
+
     /// Counts a repeat and returns true, or returns false if `vms` entry VMs have no room for it.
     pub fn take(&mut self, vms: usize, now: Instant) -> bool {
         let room = self.room(vms, now);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod budget;
 pub mod cold;
+pub mod idle;
 pub mod place;
 pub mod quota;
 pub mod spill;
