Let one request at a time find out whether a lost server is back

A server that could not be reached is tried by one request at a time, and a request tries one such server only. A request that is known to have crashed a server is not sent to a second in the same attempt, so it costs three servers and not four.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -144,7 +144,9 @@
 
     fn is_eligible(&self, live: &Rc<Live>, now: Instant) -> bool {
         let workspace_homes = self.workspace.map_or(&[][..], |workspace| &workspace.homes);
+        let is_second_trial = self.tries.unreached > 0 && live.is_on_trial();
         live.is_usable(now)
+            && !is_second_trial
             && !self
                 .tries
                 .servers
@@ -269,7 +271,9 @@
                 self.tries.may_have_run = true;
                 live.note_broken();
                 self.note_failure(live, &problem);
-                quarantine::look(self.state, live, fingerprint(self.incoming, self.workspace));
+                let fingerprint = fingerprint(self.incoming, self.workspace);
+                let may_repeat = may_repeat && !self.state.quarantine.suspects(&fingerprint);
+                quarantine::look(self.state, live, fingerprint);
                 if may_repeat
                     && self.tries.sent < self.route.max_attempts
                     && self.is_worth_another()
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -49,6 +49,12 @@
         self.watch.borrow().is_empty()
     }
 
+    /// Returns whether a request is known to have crashed a server.
+    #[must_use]
+    pub fn suspects(&self, fingerprint: &Fingerprint) -> bool {
+        self.watch.borrow().crashes(fingerprint) > 0
+    }
+
     /// Returns whether a request must not run any more.
     #[must_use]
     pub fn holds(&self, fingerprint: &Fingerprint) -> bool {
@@ -57,8 +63,7 @@
 
     /// Notes that `server` answered the request, if it is known to have crashed others.
     pub fn note_answer(&self, fingerprint: Fingerprint, server: SocketAddr) {
-        let is_known = self.watch.borrow().crashes(&fingerprint) > 0;
-        if is_known {
+        if self.suspects(&fingerprint) {
             self.note(fingerprint, server, Ending::Answered);
         }
     }
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -113,6 +113,7 @@
     pub fn ticket(self: &Rc<Self>, now: Instant) -> Ticket {
         self.in_flight.set(self.in_flight.get() + 1);
         self.cold.borrow_mut().note_sent(now);
+        self.begin_trial(now);
         Ticket(Rc::clone(self))
     }
 
@@ -136,6 +137,21 @@
         self.ready.get() && self.down.get().is_none_or(|down| now >= down.until)
     }
 
+    /// Returns whether it could not be reached the last time.
+    #[must_use]
+    pub fn is_on_trial(&self) -> bool {
+        self.down.get().is_some()
+    }
+
+    /// Lets one request find out whether it can be reached again, and keeps others away until that
+    /// is known.
+    fn begin_trial(&self, now: Instant) {
+        if let Some(down) = self.down.get() {
+            let until = now + down.pause;
+            self.down.set(Some(Down { until, ..down }));
+        }
+    }
+
     /// Notes that it broke off a request, so that its other connections may be broken too.
     pub fn note_broken(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/steer/tests/quota.rs
+++ b/crates/steer/tests/quota.rs
@@ -17,6 +17,14 @@
 /// Span over which the bound holds.
 const WINDOW: Duration = Duration::from_secs(5);
 
+/// Returns a rate whose burst is a second of it.
+fn rate(per_s: f64) -> Rate {
+    Rate {
+        per_s,
+        burst: per_s,
+    }
+}
+
 /// What the fleet may admit in a window.
 fn bound(rate: Rate) -> f64 {
     rate.per_s.mul_add(5.0, rate.burst) * 1.1 + 20.0
@@ -116,13 +124,7 @@
 /// Load pattern: 79 entry VMs and a workspace that sends less than one request a second to each.
 #[test]
 fn a_small_workspace_is_not_refused_by_many_vms() {
-    let mut fleet = Fleet::new(
-        79,
-        Rate {
-            per_s: 40.0,
-            burst: 40.0,
-        },
-    );
+    let mut fleet = Fleet::new(79, rate(40.0));
     for _ in 0..60 {
         fleet.tick(&[0.4; 79], 79);
     }
@@ -137,11 +139,8 @@
 /// Load pattern: a workspace sends eight times its usual, all of a sudden.
 #[test]
 fn a_hot_workspace_is_held_to_its_rate() {
-    let rate = Rate {
-        per_s: 300.0,
-        burst: 300.0,
-    };
-    let mut fleet = Fleet::new(8, rate);
+    let hot = rate(300.0);
+    let mut fleet = Fleet::new(8, hot);
     for _ in 0..20 {
         fleet.tick(&[24.0; 8], 8);
     }
@@ -149,10 +148,10 @@
         fleet.tick(&[190.0; 8], 8);
     }
     assert!(
-        fleet.most() <= bound(rate),
+        fleet.most() <= bound(hot),
         "{} of {}",
         fleet.most(),
-        bound(rate)
+        bound(hot)
     );
     let admitted = fleet.admitted.len() as f64;
     assert!(
@@ -164,13 +163,7 @@
 /// Load pattern: callers of a workspace move to other entry VMs within its rate.
 #[test]
 fn callers_that_move_are_not_refused() {
-    let mut fleet = Fleet::new(
-        8,
-        Rate {
-            per_s: 300.0,
-            burst: 300.0,
-        },
-    );
+    let mut fleet = Fleet::new(8, rate(300.0));
     for _ in 0..20 {
         fleet.tick(&[23.0; 8], 8);
     }
@@ -189,11 +182,8 @@
 /// Load pattern: all VMs start anew and hear of nobody for a second, while callers come back.
 #[test]
 fn callers_that_come_back_after_a_restart_are_not_refused() {
-    let rate = Rate {
-        per_s: 300.0,
-        burst: 300.0,
-    };
-    let mut fleet = Fleet::new(12, rate);
+    let hot = rate(300.0);
+    let mut fleet = Fleet::new(12, hot);
     for tick in 0..10 {
         let cut = if tick < 3 { 0 } else { 12 };
         fleet.tick(&[300.0 * 0.8 / 12.0; 12], cut);
@@ -208,18 +198,12 @@
 
 #[test]
 fn a_lower_rate_binds_at_once() {
-    let rate = Rate {
-        per_s: 300.0,
-        burst: 300.0,
-    };
-    let mut fleet = Fleet::new(8, rate);
+    let hot = rate(300.0);
+    let mut fleet = Fleet::new(8, hot);
     for _ in 0..20 {
         fleet.tick(&[30.0; 8], 8);
     }
-    fleet.rate = Rate {
-        per_s: 30.0,
-        burst: 30.0,
-    };
+    fleet.rate = rate(30.0);
     fleet.tick(&[30.0; 8], 8);
     fleet.admitted.clear();
     for _ in 0..40 {
