--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -29,6 +29,10 @@
 /// Time that an idle connection is kept if the server names none.
 const IDLE: Duration = Duration::from_millis(500);
 
+/// Time within which a forgotten connection is reset, a way to another region and back. A server
+/// that breaks off a request that it runs takes longer.
+const AT_ONCE: Duration = Duration::from_millis(50);
+
 /// Bytes reserved for each read.
 const READ_BYTES: usize = 8 << 10;
 
@@ -106,11 +110,13 @@
         Ok(stream) => stream,
         Err(error) => return Outcome::Unreached(error.to_string()),
     };
+    let begin = Instant::now();
     let exchange = exchange(stream, request, names);
     match timeout_at(deadline.into(), exchange).await {
         Err(_) => Outcome::TimedOut,
         Ok(Err(broken)) => {
-            if let Some(idle_for) = idle_for.filter(|_| !broken.has_begun) {
+            let is_at_once = !broken.has_begun && begin.elapsed() < AT_ONCE;
+            if let Some(idle_for) = idle_for.filter(|_| is_at_once) {
                 let now = Instant::now();
                 let mut limit = reuse.limit.get();
                 limit.note_reset(idle_for, now);
--- a/crates/steer/src/idle.rs
+++ b/crates/steer/src/idle.rs
@@ -9,8 +9,9 @@
 /// Longest time that is ever learnt; beyond it, what the server says decides alone.
 const MOST: Duration = Duration::from_mins(1);
 
-/// Shortest time that is learnt, so that requests in quick succession still share connections.
-const LEAST: Duration = Duration::from_millis(50);
+/// Shortest time that is learnt. A connection that was idle for less was reset for another reason,
+/// and requests in quick succession go on sharing connections.
+const LEAST: Duration = Duration::from_millis(200);
 
 /// Time without a reset after which the limit doubles.
 const DOUBLING: Duration = Duration::from_secs(5);
@@ -40,6 +41,9 @@
 
     /// Notes that a connection was reset when it was used after it had been idle for `age`.
     pub fn note_reset(&mut self, age: Duration, now: Instant) {
+        if age < LEAST {
+            return;
+        }
         let limit = self.current(now).min(age / 2).max(LEAST);
         *self = Self {
             limit,
--- a/crates/steer/tests/idle.rs
+++ b/crates/steer/tests/idle.rs
@@ -23,6 +23,20 @@
     assert!(limit.allows(Duration::from_millis(50), at(10_000)));
 }
 
+/// Load pattern: servers reset connections on which requests follow each other closely.
+#[test]
+fn resets_of_busy_connections_teach_nothing() {
+    let begin = Instant::now();
+    let mut limit = Limit::default();
+    for turn in 0..50 {
+        limit.note_reset(
+            Duration::from_millis(30),
+            begin + Duration::from_millis(turn),
+        );
+    }
+    assert!(limit.allows(Duration::from_secs(5), begin + Duration::from_millis(50)));
+}
+
 #[test]
 fn the_limit_grows_again() {
     let begin = Instant::now();
