Pass a server's own failure on if no other server answers

Cause, found while reading: after a failure of the first server, a request for which no second had room was answered 502 of our own, although the server's answer was at hand. The new test fails before (502, empty) and passes after (500, the server's body and signature).

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -85,6 +85,8 @@
     unreached: u32,
     /// Whether one of them may have run and its answer is lost.
     may_have_run: bool,
+    /// A server's own failure, which the caller gets if no other server answers.
+    failure: Option<Answered>,
 }
 
 /// What follows a try.
@@ -101,13 +103,19 @@
     /// Says why there is no answer.
     pub async fn run(&mut self) -> Result<Answered, Refusal> {
         loop {
-            let live = self.choose()?;
-            if let Step::Done(answered) = self.attempt(&live).await? {
-                return Ok(answered);
+            match self.step().await {
+                Ok(Step::Done(answered)) => return Ok(answered),
+                Ok(Step::Again) => {}
+                Err(refusal) => return self.tries.failure.take().ok_or(refusal),
             }
         }
     }
 
+    async fn step(&mut self) -> Result<Step, Refusal> {
+        let live = self.choose()?;
+        self.attempt(&live).await
+    }
+
     /// Chooses the next server.
     fn choose(&self) -> Result<Rc<Live>, Refusal> {
         let now = Instant::now();
@@ -253,6 +261,7 @@
                 let failed = answered.head.status >= 500;
                 if failed && may_repeat && !is_last && self.is_worth_another() {
                     self.tries.may_have_run = true;
+                    self.tries.failure = Some(answered);
                     return Ok(Step::Again);
                 }
                 Ok(Step::Done(answered))
