--- a/crates/entry/tests/metrics.rs
+++ b/crates/entry/tests/metrics.rs
@@ -4,11 +4,11 @@
 
 #[test]
 fn the_page_lists_the_catalogue() {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/METRICS.md");
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/METRICS-ENTRY.md");
     let text = std::fs::read_to_string(path).expect("the page can be read");
     assert!(
         text.contains(&page()),
-        "docs/METRICS.md should contain:\n{}",
+        "docs/METRICS-ENTRY.md should contain:\n{}",
         page()
     );
 }
