Log what is believed of cold servers, who owns them, and what each VM sends them

The log could not tell the hypotheses on the flooded cold servers apart: successes are sampled, and no line named belief, heartbeat or owner. New: WarmthChanged, OwnerChanged, ColdSent; RequestEnded says what was believed of its server and how old the heartbeat was.

--- a/crates/entry/src/balance.rs
+++ b/crates/entry/src/balance.rs
@@ -32,6 +32,7 @@
         self.quarantine.expire();
         self.rebalance(elapsed_s, now);
         self.note_dropped_lines();
+        self.log_warmth(now);
         self.spill(elapsed_s, now);
         event::flush();
     }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -9,6 +9,7 @@
 use fleet::{Config, Kind, Route, Workspace};
 use killer::Fingerprint;
 use rand::Rng as _;
+use steer::cold::Belief;
 use steer::place::{self, Candidate, Way};
 use steer::real;
 use steer::repeat::{self, Ending, Next, Terms, Why};
@@ -81,6 +82,8 @@
     pub servers: Vec<Rc<Live>>,
     /// How they ended.
     pub counts: repeat::Tries,
+    /// What was believed of the last one's warmth, and the age of its heartbeat in milliseconds.
+    pub warmth: Option<(Belief, u64)>,
     /// A server's own failure, which the caller gets if no other server answers.
     failure: Option<Answered>,
 }
@@ -175,10 +178,7 @@
         if !cold.is_cold(now) {
             return true;
         }
-        let bounds = self.state.bounds();
-        let service = self.config.services.get(self.service);
-        let per_s = service.map_or(1.0, |service| service.warmup_per_s);
-        let bound = per_s.mul_add(bounds.cold_factor, bounds.cold_extra);
+        let bound = self.state.cold_bound(self.service);
         cold.allows(bound, now) && self.state.owns(live)
     }
 
@@ -194,6 +194,7 @@
         let request = self.outgoing(live, left);
         let ticket = live.ticket(now);
         self.tries.servers.push(Rc::clone(live));
+        self.tries.warmth = Some((live.belief(now), live.heartbeat_ms(now)));
         let reuse = Reuse {
             limit: &self.state.idle_limit,
             most: self.most_idle(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod sync;
 mod trail;
 mod upstream;
+mod warmth;
 
 pub use answer::Refusal;
 pub use daemon::run;
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -12,6 +12,7 @@
 use crate::servers::Live;
 use crate::state::State;
 use crate::store::Raw;
+use crate::warmth::By;
 
 impl State {
     /// Takes a key of the store that `item` is the meaning of.
@@ -89,9 +90,8 @@
             (Change::Heartbeat | Change::Leaving, Some(live)) if live.addr == server.entry.addr => {
                 live.slots.set(server.entry.slots);
                 live.ready.set(server.entry.phase == fleet::Phase::Ready);
-                live.cold
-                    .borrow_mut()
-                    .note_heartbeat(server.entry.warmup_left, now);
+                live.note_heartbeat(&server.entry, now);
+                live.log_belief(By::Registration, now);
                 if change == Change::Leaving {
                     live.idle.borrow_mut().clear();
                     event::emit(&Event::ServerLeaving {
@@ -103,13 +103,14 @@
                 let zone = &server.entry.zone;
                 let region = self.region_of(zone).to_owned();
                 let live = Live::new(server, &region, self.distance(zone), now);
-                servers.put(live);
                 event::emit(&Event::ServerJoined {
                     server: id.to_owned(),
                     service: server.entry.service.clone(),
                     zone: zone.clone(),
                     backend: server.entry.addr,
                 });
+                live.log_belief(By::Registration, now);
+                servers.put(live);
             }
         }
         matches!(change, Change::None | Change::Heartbeat) && is_cold == was_cold
@@ -152,6 +153,7 @@
         let servers = self.servers.borrow();
         for live in servers.iter().filter(|live| live.zone == zone) {
             live.cold.borrow_mut().suspect(now);
+            live.log_belief(By::Evacuation, now);
         }
     }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -66,6 +66,7 @@
         tries: Tries::default(),
     };
     let outcome = job.run().await;
+    trail.warmth = job.tries.warmth;
     trail.sent = job.tries.counts.sent();
     trail.server = job.tries.servers.last().map(|live| Rc::clone(&live.id));
     outcome
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -6,12 +6,13 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use fleet::{Phase, Server, ServerId};
-use steer::cold::Cold;
+use fleet::{Entry, Phase, Server, ServerId};
+use steer::cold::{Belief, Cold};
 use steer::load::Load;
 use steer::place::{Distance, hash};
 
 use crate::upstream::Idle;
+use crate::warmth::By;
 
 /// A backend server with this entry VM's requests and connections.
 #[derive(Debug)]
@@ -36,6 +37,12 @@
     pub ready: Cell<bool>,
     /// Its warmth.
     pub cold: RefCell<Cold>,
+    /// Its latest heartbeat.
+    pub heartbeat: Cell<Heartbeat>,
+    /// The entry VM that owned it while cold, as last logged.
+    pub owner: Cell<Option<u64>>,
+    /// The belief in its warmth that was last logged.
+    pub logged: Cell<Belief>,
     /// Idle connections, the latest last.
     pub idle: RefCell<Vec<Idle>>,
     load: Cell<Load>,
@@ -44,6 +51,29 @@
     lost: Cell<bool>,
 }
 
+/// A heartbeat as this entry VM heard it.
+#[derive(Debug, Clone, Copy)]
+pub struct Heartbeat {
+    /// Its number within the incarnation.
+    pub sequence: u64,
+    /// Start of the incarnation, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// When it was heard.
+    pub heard: Instant,
+}
+
+impl Heartbeat {
+    /// Creates the heartbeat of `entry`, heard at `now`.
+    #[must_use]
+    pub fn new(entry: &Entry, now: Instant) -> Self {
+        Self {
+            sequence: entry.sequence,
+            born_ms: entry.born_ms,
+            heard: now,
+        }
+    }
+}
+
 /// A request counted at a server until dropped.
 #[derive(Debug)]
 pub struct Ticket(Rc<Live>);
@@ -79,6 +109,9 @@
             slots: Cell::new(entry.slots),
             ready: Cell::new(entry.phase == Phase::Ready),
             cold: RefCell::new(cold),
+            heartbeat: Cell::new(Heartbeat::new(entry, now)),
+            owner: Cell::new(None),
+            logged: Cell::new(Belief::Warm),
             idle: RefCell::default(),
             load: Cell::new(Load::new(now)),
             answered: Cell::new(None),
@@ -112,6 +145,21 @@
         self.change_load(|load| load.note_told(running, waiting, now));
     }
 
+    /// Takes a heartbeat.
+    pub fn note_heartbeat(&self, entry: &Entry, now: Instant) {
+        self.heartbeat.set(Heartbeat::new(entry, now));
+        self.cold
+            .borrow_mut()
+            .note_heartbeat(entry.warmup_left, now);
+    }
+
+    /// Returns the age of its latest heartbeat, in milliseconds.
+    #[must_use]
+    pub fn heartbeat_ms(&self, now: Instant) -> u64 {
+        let age = now.duration_since(self.heartbeat.get().heard);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns whether requests may be sent to it at all.
     #[must_use]
     pub fn is_usable(&self) -> bool {
@@ -133,6 +181,7 @@
     /// Notes that it could not be reached; returns whether it could before.
     pub fn begin_loss(&self, now: Instant) -> bool {
         self.cold.borrow_mut().suspect(now);
+        self.log_belief(By::Loss, now);
         self.idle.borrow_mut().clear();
         !self.lost.replace(true)
     }
@@ -146,6 +195,7 @@
     pub fn end_cut(&self) {
         self.end_loss();
         self.cold.borrow_mut().trust();
+        self.log_belief(By::Cut, Instant::now());
     }
 
     /// Returns whether its last heartbeat said that it is cold.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -7,10 +7,9 @@
 use std::time::Instant;
 
 use fleet::config::Limits;
-use fleet::report::{Announcement, Report};
+use fleet::report::Report;
 use fleet::{Board, Config, Roster, Version};
 use steer::budget::Budget;
-use steer::cold::Vm;
 use steer::idle::Limit;
 use steer::quota::Account;
 use steer::spill::Spill;
@@ -23,7 +22,7 @@
 use crate::peers;
 use crate::quarantine::Quarantine;
 use crate::replica::Replica;
-use crate::servers::{Live, Servers};
+use crate::servers::Servers;
 use crate::settings::{Bounds, Settings};
 
 /// State of the daemon.
@@ -50,8 +49,8 @@
     pub busy: RefCell<HashMap<String, f64>>,
     /// How long idle connections to backend servers may be used again.
     pub idle_limit: Cell<Limit>,
-    /// Cold servers, by hash, and whether this entry VM owns them; since the latest tick.
-    owned: RefCell<HashMap<u64, bool>>,
+    /// Owners of cold servers, by the server's hash; since the latest tick.
+    pub(crate) owners: RefCell<HashMap<u64, u64>>,
     /// Entry VMs that serve callers, by zone; since the latest tick.
     serving: RefCell<HashMap<String, f64>>,
     /// Requests that crash backend servers.
@@ -117,7 +116,7 @@
             spills: RefCell::default(),
             busy: RefCell::default(),
             idle_limit: Cell::default(),
-            owned: RefCell::default(),
+            owners: RefCell::default(),
             serving: RefCell::default(),
             quarantine: Quarantine::default(),
             room,
@@ -268,46 +267,12 @@
         self.roster.borrow().is_evacuated(zone)
     }
 
-    /// Returns whether this entry VM may send work to the cold server `live`, as of the latest tick.
-    #[must_use]
-    pub fn owns(&self, live: &Live) -> bool {
-        let mut owned = self.owned.borrow_mut();
-        *owned
-            .entry(live.hash)
-            .or_insert_with(|| self.is_owner(live))
-    }
-
     /// Lets what follows from the other entry VMs be worked out anew.
     pub fn forget_derived(&self) {
-        self.owned.borrow_mut().clear();
+        self.owners.borrow_mut().clear();
         self.serving.borrow_mut().clear();
     }
 
-    fn is_owner(&self, live: &Live) -> bool {
-        let own = peers::rank(&self.settings.vm);
-        let board = self.board.borrow();
-        let ready = board.ready(&self.picture.borrow());
-        let vm = |(name, announcement): &(&str, &Announcement)| {
-            let region = self.region_of(&announcement.zone);
-            (peers::rank(name), announcement.zone.clone(), region)
-        };
-        let others: Vec<(u64, String, &str)> = ready.iter().map(vm).collect();
-        let mut vms: Vec<Vm<'_>> = others
-            .iter()
-            .map(|(name, zone, region)| Vm {
-                name: *name,
-                zone,
-                region,
-            })
-            .collect();
-        vms.push(Vm {
-            name: own,
-            zone: &self.settings.zone,
-            region: &self.settings.region,
-        });
-        steer::cold::owner(live.hash, &live.zone, &live.region, &vms) == Some(own)
-    }
-
     /// Returns the zones and addresses of the other entry VMs that callers may be sent to.
     #[must_use]
     pub fn ready_peers(&self) -> Vec<(String, SocketAddr)> {
--- a/crates/entry/src/trail.rs
+++ b/crates/entry/src/trail.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use event::Event;
+use steer::cold::Belief;
 
 use crate::answer::Refusal;
 use crate::caller::Incoming;
@@ -39,6 +40,8 @@
     pub service: String,
     /// The server that was tried last.
     pub server: Option<fleet::ServerId>,
+    /// What was believed of that server's warmth, and the age of its heartbeat in milliseconds.
+    pub warmth: Option<(Belief, u64)>,
     /// Number of servers that the request was sent to.
     pub sent: u32,
 }
@@ -65,6 +68,7 @@
             route: None,
             service: String::new(),
             server: None,
+            warmth: None,
             sent: 0,
         }
     }
@@ -101,6 +105,11 @@
                 .map(|id| id.to_string())
                 .unwrap_or_default(),
             sent: self.sent,
+            warmth: self
+                .warmth
+                .map_or("", |(belief, _)| belief.name())
+                .to_owned(),
+            heartbeat_ms: self.warmth.map_or(0, |(_, age)| age),
             config: self.state.version().0,
             ms: u64::try_from(self.since.elapsed().as_millis()).unwrap_or(u64::MAX),
         });
--- /dev/null
+++ b/crates/entry/src/warmth.rs
@@ -0,0 +1,171 @@
+//! Cold backend servers: which entry VM owns one, and what is logged of that.
+
+use std::time::Instant;
+
+use event::Event;
+use fleet::report::Announcement;
+use steer::cold::{self, Belief, Vm};
+
+use crate::peers;
+use crate::servers::Live;
+use crate::state::State;
+
+/// What may change the belief in a server's warmth.
+#[derive(Debug, Clone, Copy)]
+pub enum By {
+    /// A registration.
+    Registration,
+    /// It could not be reached.
+    Loss,
+    /// Its zone was evacuated or taken back.
+    Evacuation,
+    /// This entry VM was cut off from it.
+    Cut,
+    /// Time that passed.
+    Time,
+}
+
+impl By {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Registration => "registration",
+            Self::Loss => "loss",
+            Self::Evacuation => "evacuation",
+            Self::Cut => "cut",
+            Self::Time => "time",
+        }
+    }
+}
+
+impl State {
+    /// Returns whether this entry VM may send work to the cold server `live`, as of the latest tick.
+    #[must_use]
+    pub fn owns(&self, live: &Live) -> bool {
+        let known = self.owners.borrow().get(&live.hash).copied();
+        let owner = known.unwrap_or_else(|| self.owner_anew(live));
+        owner == peers::rank(&self.settings.vm)
+    }
+
+    fn owner_anew(&self, live: &Live) -> u64 {
+        let owner = self.owner(live);
+        self.owners.borrow_mut().insert(live.hash, owner);
+        if live.owner.replace(Some(owner)) != Some(owner) {
+            self.log_owner(live, owner);
+        }
+        owner
+    }
+
+    fn owner(&self, live: &Live) -> u64 {
+        let own = peers::rank(&self.settings.vm);
+        let board = self.board.borrow();
+        let ready = board.ready(&self.picture.borrow());
+        let vm = |(name, announcement): &(&str, &Announcement)| {
+            let region = self.region_of(&announcement.zone);
+            (peers::rank(name), announcement.zone.clone(), region)
+        };
+        let others: Vec<(u64, String, &str)> = ready.iter().map(vm).collect();
+        let mut vms: Vec<Vm<'_>> = others
+            .iter()
+            .map(|(name, zone, region)| Vm {
+                name: *name,
+                zone,
+                region,
+            })
+            .collect();
+        vms.push(Vm {
+            name: own,
+            zone: &self.settings.zone,
+            region: &self.settings.region,
+        });
+        cold::owner(live.hash, &live.zone, &live.region, &vms).unwrap_or(own)
+    }
+
+    fn log_owner(&self, live: &Live, owner: u64) {
+        let board = self.board.borrow();
+        let picture = self.picture.borrow();
+        let ready = board.ready(&picture);
+        let name = ready.iter().find(|(name, _)| peers::rank(name) == owner);
+        event::emit(&Event::OwnerChanged {
+            server: live.id.to_string(),
+            owner: name.map_or(&*self.settings.vm, |(name, _)| name).to_owned(),
+            is_own: owner == peers::rank(&self.settings.vm),
+            ready: ready.len() as u64,
+            heard: picture.vms.len() as u64,
+            known: board.count() as u64,
+        });
+    }
+
+    /// Logs what is sent to cold servers, and beliefs that time alone has changed.
+    pub fn log_warmth(&self, now: Instant) {
+        for live in self.servers.borrow().iter() {
+            live.log_belief(By::Time, now);
+            self.log_sent(live, now);
+        }
+    }
+
+    fn log_sent(&self, live: &Live, now: Instant) {
+        let belief = live.belief(now);
+        if belief == Belief::Warm {
+            return;
+        }
+        let sent = live.sent(now);
+        if sent == 0 {
+            return;
+        }
+        event::emit(&Event::ColdSent {
+            server: live.id.to_string(),
+            belief: belief.name().to_owned(),
+            sent,
+            most: self.cold_bound(&live.service),
+            is_own: self.owns(live),
+            sequence: live.heartbeat.get().sequence,
+            heartbeat_ms: live.heartbeat_ms(now),
+        });
+    }
+
+    /// Returns the requests a second that a cold server of `service` bears from all entry VMs.
+    #[must_use]
+    pub fn cold_bound(&self, service: &str) -> f64 {
+        let bounds = self.bounds();
+        let config = self.config();
+        let service = config
+            .as_ref()
+            .and_then(|config| config.services.get(service));
+        let per_s = service.map_or(1.0, |service| service.warmup_per_s);
+        per_s.mul_add(bounds.cold_factor, bounds.cold_extra)
+    }
+}
+
+impl Live {
+    /// Returns what is believed of its warmth.
+    #[must_use]
+    pub fn belief(&self, now: Instant) -> Belief {
+        self.cold.borrow().belief(now)
+    }
+
+    /// Returns the requests that this entry VM sent to it in the last second.
+    fn sent(&self, now: Instant) -> u64 {
+        self.cold.borrow_mut().sent(now) as u64
+    }
+
+    /// Logs the belief in its warmth if it is another than the last one logged.
+    pub fn log_belief(&self, by: By, now: Instant) {
+        let belief = self.belief(now);
+        if self.logged.replace(belief) == belief {
+            return;
+        }
+        let heartbeat = self.heartbeat.get();
+        let left = self.cold.borrow().left(now);
+        event::emit(&Event::WarmthChanged {
+            server: self.id.to_string(),
+            service: self.service.clone(),
+            zone: self.zone.clone(),
+            belief: belief.name().to_owned(),
+            by: by.name().to_owned(),
+            sequence: heartbeat.sequence,
+            born_ms: heartbeat.born_ms,
+            left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            sent: self.sent(now),
+        });
+    }
+}
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -73,11 +73,14 @@
     3008 info ZoneEvacuated { zone: String, evacuated: bool } "The evacuation of a zone began or ended.";
     3009 warn KeyUnreadable { key: String, problem: String } "A key of the store cannot be read; what was known stays.";
     3010 warn NeighbourUnreachable { addr: SocketAddr, error: String } "Another entry VM did not tell its state.";
-    3011 info RequestEnded { request: String, status: u16, reason: String, workspace: String, route: String, service: String, server: String, sent: u32, config: u64, ms: u64 } "A request was answered; successes are sampled.";
+    3011 info RequestEnded { request: String, status: u16, reason: String, workspace: String, route: String, service: String, server: String, sent: u32, warmth: String, heartbeat_ms: u64, config: u64, ms: u64 } "A request was answered; successes are sampled. `warmth` is what was believed of the last backend server when it was sent there, `heartbeat_ms` the age of its latest heartbeat then.";
     3012 error ServerCrashed { server: String, fingerprint: String } "A backend server cannot be reached right after it broke off a request.";
     3013 warn LinesDropped { lines: u64 } "Standard output was not read in time, so lines were left out; `lines` counts them since the start.";
     3014 warn SettingsUnreadable { error: String } "The settings cannot be read anew; the earlier ones stay in force.";
     3015 warn MetricsNotServed { error: String } "The metrics' address cannot be bound; the daemon goes on.";
     3016 warn ServerLost { server: String, zone: String } "A backend server cannot be reached; no request is sent to it until a connection succeeds.";
     3017 info ServerBack { server: String, was_cut: bool, ms: u64 } "A lost backend server can be reached again after `ms`; `was_cut` says whether the VM itself had been cut off.";
+    3018 info WarmthChanged { server: String, service: String, zone: String, belief: String, by: String, sequence: u64, born_ms: u64, left_ms: u64, sent: u64 } "What is believed of a backend server's warmth changed, `by` what; `sent` counts this VM's requests to it in the last second.";
+    3019 info OwnerChanged { server: String, owner: String, is_own: bool, ready: u64, heard: u64, known: u64 } "Another entry VM may send to a cold backend server: `owner`, the first of the `ready` ones.";
+    3020 info ColdSent { server: String, belief: String, sent: u64, most: f64, is_own: bool, sequence: u64, heartbeat_ms: u64 } "Requests that this VM sent in the last second to a backend server that it takes for cold.";
 }
--- a/crates/steer/src/cold.rs
+++ b/crates/steer/src/cold.rs
@@ -29,6 +29,29 @@
 /// itself.
 const CUT_PART: f64 = 0.9;
 
+/// Whether a server is believed to be cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Belief {
+    /// It is not.
+    Warm,
+    /// It may have restarted without saying so yet.
+    Suspect,
+    /// It said so.
+    Cold,
+}
+
+impl Belief {
+    /// Returns its name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Warm => "warm",
+            Self::Suspect => "suspect",
+            Self::Cold => "cold",
+        }
+    }
+}
+
 /// What is believed of a server's warmth.
 #[derive(Debug)]
 pub struct Cold {
@@ -36,7 +59,10 @@
     until: Option<Instant>,
     /// Since when it may have restarted without saying so yet.
     suspect: Option<Instant>,
+    /// Requests sent while it was believed to be cold.
     sent: Window,
+    /// All requests.
+    all: Window,
 }
 
 impl Default for Cold {
@@ -45,6 +71,7 @@
             until: None,
             suspect: None,
             sent: Window::new(SPAN),
+            all: Window::new(SPAN),
         }
     }
 }
@@ -74,10 +101,34 @@
         self.until.is_some_and(|until| now < until)
     }
 
+    /// Returns what is believed.
+    #[must_use]
+    pub fn belief(&self, now: Instant) -> Belief {
+        if self.says_cold(now) {
+            return Belief::Cold;
+        }
+        match self.suspect {
+            Some(since) if now < since + SUSPECT => Belief::Suspect,
+            _ => Belief::Warm,
+        }
+    }
+
     /// Returns whether the server is cold or may be.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.says_cold(now) || self.suspect.is_some_and(|since| now < since + SUSPECT)
+        self.belief(now) != Belief::Warm
+    }
+
+    /// Returns how much longer it said that it stays cold.
+    #[must_use]
+    pub fn left(&self, now: Instant) -> Duration {
+        let left = self.until.map(|until| until.saturating_duration_since(now));
+        left.unwrap_or_default()
+    }
+
+    /// Returns the requests that this entry VM sent in the last second.
+    pub fn sent(&mut self, now: Instant) -> usize {
+        self.all.len(now)
     }
 
     /// Returns whether the owner may send another request, if all entry VMs together may send
@@ -88,6 +139,7 @@
 
     /// Counts a request that was sent.
     pub fn note_sent(&mut self, now: Instant) {
+        self.all.note(now);
         if self.is_cold(now) {
             self.sent.note(now);
         }
--- a/crates/steer/src/window.rs
+++ b/crates/steer/src/window.rs
@@ -28,8 +28,13 @@
 
     /// Returns the number of events within the span before `now`.
     pub fn count(&mut self, now: Instant) -> f64 {
+        real(self.len(now))
+    }
+
+    /// Returns the number of events within the span before `now`, as a whole number.
+    pub fn len(&mut self, now: Instant) -> usize {
         self.expire(now);
-        real(self.times.len())
+        self.times.len()
     }
 
     fn expire(&mut self, now: Instant) {
