Let an entry VM own a cold server only once all its views of 1.5 s say so

Cause: a cold server's rate is kept over the fleet by one owner, which each VM works out from the VMs that it has heard of. A VM that has just started has heard of none, so each took itself for the owner of every cold server until the first messages came, 0.3 to 0.9 s later. The same holds for a VM that stood still (its view is old) and, in smaller measure, for owners that change several times within a second, each with a whole part. Class: a sum over the fleet guarded by what one process happens to know and to remember.

Why this works: an owner has to be the first by every view of the last 1.5 s, which is the second that is counted and the time in which VMs hear of each other; a view older than 1 s, or a gap, begins that time anew. Then a former owner's last second, of this process or another, is over before the next owner sends.

--- a/crates/entry/src/balance.rs
+++ b/crates/entry/src/balance.rs
@@ -27,6 +27,7 @@
         board.expire(now);
         self.picture.replace(board.fleet(now));
         drop(board);
+        self.note_view(now);
         self.forget_derived();
         self.quarantine.learn(&self.picture.borrow().crashes);
         self.quarantine.expire();
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -39,8 +39,9 @@
     pub cold: RefCell<Cold>,
     /// Its latest heartbeat.
     pub heartbeat: Cell<Heartbeat>,
-    /// The entry VM that owned it while cold, as last logged.
-    pub owner: Cell<Option<u64>>,
+    /// The entry VM that comes first for it, and whether this one may send to it while it is cold; as
+    /// last logged.
+    pub owner: Cell<(Option<u64>, bool)>,
     /// The belief in its warmth that was last logged.
     pub logged: Cell<Belief>,
     /// Idle connections, the latest last.
@@ -110,7 +111,7 @@
             ready: Cell::new(entry.phase == Phase::Ready),
             cold: RefCell::new(cold),
             heartbeat: Cell::new(Heartbeat::new(entry, now)),
-            owner: Cell::new(None),
+            owner: Cell::default(),
             logged: Cell::new(Belief::Warm),
             idle: RefCell::default(),
             load: Cell::new(Load::new(now)),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,6 +11,7 @@
 use fleet::{Board, Config, Roster, Version};
 use steer::budget::Budget;
 use steer::idle::Limit;
+use steer::owner::Views;
 use steer::quota::Account;
 use steer::spill::Spill;
 use steer::split::Split;
@@ -49,8 +50,10 @@
     pub busy: RefCell<HashMap<String, f64>>,
     /// How long idle connections to backend servers may be used again.
     pub idle_limit: Cell<Limit>,
-    /// Owners of cold servers, by the server's hash; since the latest tick.
-    pub(crate) owners: RefCell<HashMap<u64, u64>>,
+    /// What was known lately of the VMs that may own cold servers.
+    pub(crate) views: RefCell<Views>,
+    /// Cold servers, by hash, and whether this entry VM may send work to them; since the latest tick.
+    pub(crate) owned: RefCell<HashMap<u64, bool>>,
     /// Entry VMs that serve callers, by zone; since the latest tick.
     serving: RefCell<HashMap<String, f64>>,
     /// Requests that crash backend servers.
@@ -116,7 +119,8 @@
             spills: RefCell::default(),
             busy: RefCell::default(),
             idle_limit: Cell::default(),
-            owners: RefCell::default(),
+            views: RefCell::default(),
+            owned: RefCell::default(),
             serving: RefCell::default(),
             quarantine: Quarantine::default(),
             room,
@@ -269,7 +273,7 @@
 
     /// Lets what follows from the other entry VMs be worked out anew.
     pub fn forget_derived(&self) {
-        self.owners.borrow_mut().clear();
+        self.owned.borrow_mut().clear();
         self.serving.borrow_mut().clear();
     }
 
--- a/crates/entry/src/warmth.rs
+++ b/crates/entry/src/warmth.rs
@@ -3,8 +3,9 @@
 use std::time::Instant;
 
 use event::Event;
-use fleet::report::Announcement;
-use steer::cold::{self, Belief, Vm};
+use steer::cold::Belief;
+use steer::owner::Place;
+use steer::place::hash;
 
 use crate::peers;
 use crate::servers::Live;
@@ -37,58 +38,62 @@
     }
 }
 
+/// Returns the place of a VM or a server.
+fn place(name: u64, zone: &str, region: &str) -> Place {
+    Place {
+        name,
+        zone: hash(zone.as_bytes()),
+        region: hash(region.as_bytes()),
+    }
+}
+
 impl State {
     /// Returns whether this entry VM may send work to the cold server `live`, as of the latest tick.
     #[must_use]
     pub fn owns(&self, live: &Live) -> bool {
-        let known = self.owners.borrow().get(&live.hash).copied();
-        let owner = known.unwrap_or_else(|| self.owner_anew(live));
-        owner == peers::rank(&self.settings.vm)
-    }
-
-    fn owner_anew(&self, live: &Live) -> u64 {
-        let owner = self.owner(live);
-        self.owners.borrow_mut().insert(live.hash, owner);
-        if live.owner.replace(Some(owner)) != Some(owner) {
-            self.log_owner(live, owner);
+        if let Some(is_own) = self.owned.borrow().get(&live.hash) {
+            return *is_own;
+        }
+        let own = peers::rank(&self.settings.vm);
+        let server = place(live.hash, &live.zone, &live.region);
+        let views = self.views.borrow();
+        let is_own = views.owns(own, server, Instant::now());
+        self.owned.borrow_mut().insert(live.hash, is_own);
+        let owner = views.owner(server);
+        if live.owner.replace((owner, is_own)) != (owner, is_own) {
+            self.log_owner(live, owner, is_own);
         }
-        owner
+        is_own
     }
 
-    fn owner(&self, live: &Live) -> u64 {
-        let own = peers::rank(&self.settings.vm);
+    /// Notes which entry VMs serve callers.
+    pub fn note_view(&self, now: Instant) {
         let board = self.board.borrow();
         let ready = board.ready(&self.picture.borrow());
-        let vm = |(name, announcement): &(&str, &Announcement)| {
-            let region = self.region_of(&announcement.zone);
-            (peers::rank(name), announcement.zone.clone(), region)
-        };
-        let others: Vec<(u64, String, &str)> = ready.iter().map(vm).collect();
-        let mut vms: Vec<Vm<'_>> = others
-            .iter()
-            .map(|(name, zone, region)| Vm {
-                name: *name,
-                zone,
-                region,
-            })
-            .collect();
-        vms.push(Vm {
-            name: own,
-            zone: &self.settings.zone,
-            region: &self.settings.region,
+        let others = ready.iter().map(|(name, announcement)| {
+            let zone = &announcement.zone;
+            place(peers::rank(name), zone, self.region_of(zone))
         });
-        cold::owner(live.hash, &live.zone, &live.region, &vms).unwrap_or(own)
+        let own = place(
+            peers::rank(&self.settings.vm),
+            &self.settings.zone,
+            &self.settings.region,
+        );
+        let vms = others.chain([own]).collect();
+        self.views.borrow_mut().note(vms, now);
     }
 
-    fn log_owner(&self, live: &Live, owner: u64) {
+    fn log_owner(&self, live: &Live, owner: Option<u64>, is_own: bool) {
         let board = self.board.borrow();
         let picture = self.picture.borrow();
         let ready = board.ready(&picture);
-        let name = ready.iter().find(|(name, _)| peers::rank(name) == owner);
+        let names = ready.iter().map(|(name, _)| *name);
+        let mut names = names.chain([&*self.settings.vm]);
+        let name = names.find(|name| Some(peers::rank(name)) == owner);
         event::emit(&Event::OwnerChanged {
             server: live.id.to_string(),
-            owner: name.map_or(&*self.settings.vm, |(name, _)| name).to_owned(),
-            is_own: owner == peers::rank(&self.settings.vm),
+            owner: name.unwrap_or_default().to_owned(),
+            is_own,
             ready: ready.len() as u64,
             heard: picture.vms.len() as u64,
             known: board.count() as u64,
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -81,6 +81,6 @@
     3016 warn ServerLost { server: String, zone: String } "A backend server cannot be reached; no request is sent to it until a connection succeeds.";
     3017 info ServerBack { server: String, was_cut: bool, ms: u64 } "A lost backend server can be reached again after `ms`; `was_cut` says whether the VM itself had been cut off.";
     3018 info WarmthChanged { server: String, service: String, zone: String, belief: String, by: String, sequence: u64, born_ms: u64, left_ms: u64, sent: u64 } "What is believed of a backend server's warmth changed, `by` what; `sent` counts this VM's requests to it in the last second.";
-    3019 info OwnerChanged { server: String, owner: String, is_own: bool, ready: u64, heard: u64, known: u64 } "Another entry VM may send to a cold backend server: `owner`, the first of the `ready` ones.";
+    3019 info OwnerChanged { server: String, owner: String, is_own: bool, ready: u64, heard: u64, known: u64 } "Another entry VM comes first for a cold backend server, or this one may send to it from now on or no more (`is_own`).";
     3020 info ColdSent { server: String, belief: String, sent: u64, most: f64, is_own: bool, sequence: u64, heartbeat_ms: u64 } "Requests that this VM sent in the last second to a backend server that it takes for cold.";
 }
--- a/crates/steer/src/cold.rs
+++ b/crates/steer/src/cold.rs
@@ -2,18 +2,16 @@
 //!
 //! Answers a zone whose servers come back together, without their caches: a cold server that
 //! gets more than a certain rate crashes. The rate holds over all entry VMs, so one entry VM, the
-//! server's owner, sends it work while it is cold, and keeps to less than half of the bound, since
-//! entry VMs that are cut off from each other may both take themselves for the owner.
+//! server's owner ([`crate::owner`]), sends it work while it is cold, and keeps to less than half of
+//! the bound, since entry VMs that are cut off from each other may both take themselves for the owner.
 
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use crate::window::{Window, real};
 
 /// Span over which a cold server's requests are counted.
-const SPAN: Duration = Duration::from_secs(1);
+pub const SPAN: Duration = Duration::from_secs(1);
 
 /// Part of the bound that one owner uses.
 const OWNER_PART: f64 = 0.45;
@@ -146,28 +144,6 @@
     }
 }
 
-/// An entry VM that may own a cold server.
-#[derive(Debug, Clone, Copy)]
-pub struct Vm<'a> {
-    /// Hash of its name.
-    pub name: u64,
-    /// Its zone.
-    pub zone: &'a str,
-    /// Its region.
-    pub region: &'a str,
-}
-
-/// Returns the hash of the name of the VM that owns `server`: one in its zone, else in its region,
-/// else any.
-#[must_use]
-pub fn owner(server: u64, zone: &str, region: &str, vms: &[Vm<'_>]) -> Option<u64> {
-    let rank = |vm: &Vm<'_>| {
-        let near = u8::from(vm.region == region) + u8::from(vm.zone == zone);
-        (near, xxh3_64_with_seed(&vm.name.to_le_bytes(), server))
-    };
-    vms.iter().max_by_key(|vm| rank(vm)).map(|vm| vm.name)
-}
-
 /// Returns whether an entry VM that lost servers is cut off itself, so that they have not restarted.
 /// `servers` are those outside its zone: their regions, and whether they are lost. A region may lose
 /// power as a whole; two do not at once.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod idle;
 pub mod load;
 pub mod mean;
+pub mod owner;
 pub mod place;
 pub mod quota;
 pub mod repeat;
--- /dev/null
+++ b/crates/steer/src/owner.rs
@@ -0,0 +1,98 @@
+//! Which entry VM may send work to a cold backend server.
+//!
+//! Answers a zone whose servers come back together, cold, while entry VMs start, stop or fail. The
+//! bound on a cold server holds over all entry VMs in any second, and none can ask the others. So
+//! one VM owns a server: the first by a rank that all compute alike from the VMs that they know. VMs
+//! know different ones for a while, above all those that have just started, and a former owner's
+//! last second counts too. A VM therefore owns a server only once it has been the first for
+//! [`QUIET`], by each view that it had meanwhile.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::cold::SPAN;
+
+/// Time for which a VM has to be the first: the span over which the bound holds, and the time
+/// within which entry VMs in touch hear of each other's changes.
+pub const QUIET: Duration = SPAN.saturating_add(Duration::from_millis(500));
+
+/// Age from which a view is not relied on, several times that between two views.
+const STALE: Duration = Duration::from_secs(1);
+
+/// Place of an entry VM or a backend server; names are hashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// Its name.
+    pub name: u64,
+    /// Its zone.
+    pub zone: u64,
+    /// Its region.
+    pub region: u64,
+}
+
+/// The entry VMs that one knew, since some time.
+#[derive(Debug)]
+struct View {
+    since: Instant,
+    /// Sorted.
+    vms: Vec<Place>,
+}
+
+/// What an entry VM knew of the others, as long as it matters.
+#[derive(Debug, Default)]
+pub struct Views {
+    /// The latest last, without a gap between them.
+    views: VecDeque<View>,
+    /// When the latest was last found to hold.
+    confirmed: Option<Instant>,
+}
+
+impl Views {
+    /// Notes that `vms` serve callers at `now`.
+    pub fn note(&mut self, mut vms: Vec<Place>, now: Instant) {
+        if !self.is_fresh(now) {
+            self.views.clear();
+        }
+        self.confirmed = Some(now);
+        vms.sort_unstable();
+        if self.views.back().is_none_or(|view| view.vms != vms) {
+            self.views.push_back(View { since: now, vms });
+        }
+        while self.views.get(1).is_some_and(|view| has_passed(view, now)) {
+            self.views.pop_front();
+        }
+    }
+
+    /// Returns whether the VM `own` may send work to the cold `server`.
+    #[must_use]
+    pub fn owns(&self, own: u64, server: Place, now: Instant) -> bool {
+        let is_settled = self.views.front().is_some_and(|view| has_passed(view, now));
+        let is_first = |view: &View| first(&view.vms, server) == Some(own);
+        self.is_fresh(now) && is_settled && self.views.iter().all(is_first)
+    }
+
+    /// Returns the VM that comes first for `server` by the latest view.
+    #[must_use]
+    pub fn owner(&self, server: Place) -> Option<u64> {
+        first(&self.views.back()?.vms, server)
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.confirmed.is_some_and(|at| now < at + STALE)
+    }
+}
+
+fn has_passed(view: &View, now: Instant) -> bool {
+    view.since + QUIET <= now
+}
+
+/// Returns the first of `vms` for `server`: one in its zone, else in its region, else any.
+fn first(vms: &[Place], server: Place) -> Option<u64> {
+    let rank = |vm: &Place| {
+        let near = u8::from(vm.region == server.region) + u8::from(vm.zone == server.zone);
+        (near, xxh3_64_with_seed(&vm.name.to_le_bytes(), server.name))
+    };
+    vms.iter().max_by_key(|vm| rank(vm)).map(|vm| vm.name)
+}
--- a/crates/steer/tests/sums.rs
+++ b/crates/steer/tests/sums.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use steer::budget::{Bound, Budget};
-use steer::cold::{Cold, Vm, owner};
+use steer::cold::Cold;
 use steer::place::hash;
 use steer::split::Split;
 
@@ -91,27 +91,6 @@
     }
 }
 
-#[test]
-fn vms_that_know_the_same_vms_agree_on_a_cold_server_s_owner() {
-    let vms: Vec<Vm<'_>> = ["a", "b", "c"]
-        .map(|name| Vm {
-            name: hash(name.as_bytes()),
-            zone: name,
-            region: "r",
-        })
-        .to_vec();
-    let server = hash(b"server");
-    let chosen = owner(server, "b", "r", &vms);
-    assert_eq!(
-        chosen,
-        Some(hash(b"b")),
-        "the owner is in the server's zone"
-    );
-    let reversed: Vec<Vm<'_>> = vms.iter().rev().copied().collect();
-    assert_eq!(owner(server, "b", "r", &reversed), chosen);
-    assert_ne!(owner(server, "x", "r", &vms), None);
-}
-
 /// Load pattern: a server that was lost comes back cold before its heartbeat says so.
 #[test]
 fn a_server_that_was_unreachable_counts_as_cold_until_a_later_heartbeat() {
