Let an entry VM that stops own no cold server

What callers saw: while a zone is taken back and entry VMs stop several at a time, its cold servers got up to 56 requests in a second where they bear 32, one fell over, and requests timed out.

Cause: a VM that stops is out of the others' views at once, so that a next one owns its cold servers, but it kept itself in its own view; when many stop together, each is the only one left in its own eyes.

Ruled out: different times of hearing that the zone is back (all had heard 0.5 s before).

Why this works: from the signal on a VM owns nothing, and is no part of its own view either; the others begin after their quiet time.

--- a/crates/entry/src/warmth.rs
+++ b/crates/entry/src/warmth.rs
@@ -48,9 +48,13 @@
 }
 
 impl State {
-    /// Returns whether this entry VM may send work to the cold server `live`, as of the latest tick.
+    /// Returns whether this entry VM may send work to the cold server `live`, as of the latest tick. One
+    /// that stops may not, since the others know of a next one soon.
     #[must_use]
     pub fn owns(&self, live: &Live) -> bool {
+        if self.is_leaving() {
+            return false;
+        }
         if let Some(is_own) = self.owned.borrow().get(&live.hash) {
             return *is_own;
         }
@@ -66,7 +70,7 @@
         is_own
     }
 
-    /// Notes which entry VMs serve callers.
+    /// Notes which entry VMs serve callers, this one included if it does.
     pub fn note_view(&self, now: Instant) {
         let board = self.board.borrow();
         let ready = board.ready(&self.picture.borrow());
@@ -79,7 +83,8 @@
             &self.settings.zone,
             &self.settings.region,
         );
-        let vms = others.chain([own]).collect();
+        let own = self.is_ready().then_some(own);
+        let vms = others.chain(own).collect();
         self.views.borrow_mut().note(vms, now);
     }
 
