Count requests to a cold server in the second in which they are sent

What callers would see: the same as with two owners too many, a cold server that falls over.

Cause: the count of the last second was not that of what was sent in it. A request was counted when it was placed, and may wait 0.6 s for a connection, so that many that had waited went out together with those counted later; and requests to a server taken for warm were not counted at all, so that a busy server that was said to be cold got its whole cold rate on top.

Why this works: a placed request counts until it is sent or given up, and for a second from its sending, whatever was believed then.

Tests: requests_that_waited_for_a_connection_count_when_they_are_sent and requests_to_a_server_taken_for_warm_count_once_it_is_cold; the earlier count expires the first 14 after a second and has nothing of the second 20.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -199,7 +199,7 @@
             most: self.most_idle(),
         };
         let names = &self.state.names;
-        let outcome = upstream::send(live, &request, names, &reuse, self.deadline).await;
+        let outcome = upstream::send(&ticket, &request, names, &reuse, self.deadline).await;
         if let Outcome::Answered(answered) = &outcome {
             self.note_answer(live, answered);
         }
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -77,11 +77,31 @@
 
 /// A request counted at a server until dropped.
 #[derive(Debug)]
-pub struct Ticket(Rc<Live>);
+pub struct Ticket {
+    server: Rc<Live>,
+    is_sent: Cell<bool>,
+}
+
+impl Ticket {
+    /// Returns the server.
+    #[must_use]
+    pub fn server(&self) -> &Live {
+        &self.server
+    }
+
+    /// Notes that the request is being sent.
+    pub fn note_sent(&self) {
+        self.is_sent.set(true);
+        self.server.cold.borrow_mut().note_sent(Instant::now());
+    }
+}
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.0.change_load(|load| load.end(Instant::now()));
+        self.server.change_load(|load| load.end(Instant::now()));
+        if !self.is_sent.get() {
+            self.server.cold.borrow_mut().give_up();
+        }
     }
 }
 
@@ -124,8 +144,11 @@
     #[must_use]
     pub fn ticket(self: &Rc<Self>, now: Instant) -> Ticket {
         self.change_load(|load| load.begin(now));
-        self.cold.borrow_mut().note_sent(now);
-        Ticket(Rc::clone(self))
+        self.cold.borrow_mut().begin();
+        Ticket {
+            server: Rc::clone(self),
+            is_sent: Cell::new(false),
+        }
     }
 
     fn change_load(&self, change: impl FnOnce(&mut Load)) {
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::io;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -14,7 +13,7 @@
 use crate::body::Collector;
 use crate::head::{self, Fields};
 use crate::names::Names;
-use crate::servers::Live;
+use crate::servers::{Live, Ticket};
 
 /// Longest time to wait for a connection; twice a retransmitted first packet would take longer
 /// than most callers wait.
@@ -91,15 +90,16 @@
     pub most: usize,
 }
 
-/// Sends `request` to `server` and waits for the answer until `deadline`. Dropping the future
+/// Sends `request` to the server of `ticket` and waits for the answer until `deadline`. Dropping the future
 /// closes the connection, which tells the server that nobody waits.
 pub async fn send(
-    server: &Rc<Live>,
+    ticket: &Ticket,
     request: &Outgoing,
     names: &Names,
     reuse: &Reuse<'_>,
     deadline: Instant,
 ) -> Outcome {
+    let server = ticket.server();
     let idle = take_idle(server, reuse.limit);
     let idle_for = idle.as_ref().map(|idle| idle.since.elapsed());
     let connected = match idle {
@@ -110,6 +110,7 @@
         Ok(stream) => stream,
         Err(error) => return Outcome::Unreached(error.to_string()),
     };
+    ticket.note_sent();
     let begin = Instant::now();
     let exchange = exchange(stream, request, names);
     match timeout_at(deadline.into(), exchange).await {
--- a/crates/steer/src/cold.rs
+++ b/crates/steer/src/cold.rs
@@ -54,10 +54,10 @@
     until: Option<Instant>,
     /// Since when it may have restarted without saying so yet.
     suspect: Option<Instant>,
-    /// Requests sent while it was believed to be cold.
+    /// Requests that wait for a connection and may be sent at any moment.
+    waiting: usize,
+    /// Requests sent, whatever was believed then.
     sent: Window,
-    /// All requests.
-    all: Window,
 }
 
 impl Default for Cold {
@@ -65,8 +65,8 @@
         Self {
             until: None,
             suspect: None,
+            waiting: 0,
             sent: Window::new(SPAN),
-            all: Window::new(SPAN),
         }
     }
 }
@@ -121,22 +121,30 @@
         left.unwrap_or_default()
     }
 
-    /// Returns the requests that this entry VM sent in the last second.
+    /// Returns the requests that this entry VM sent in the last second, or is about to send.
     pub fn sent(&mut self, now: Instant) -> usize {
-        self.all.len(now)
+        self.waiting + self.sent.len(now)
     }
 
     /// Returns whether another request may be sent, of at most `most` a second.
     pub fn allows(&mut self, most: f64, now: Instant) -> bool {
-        self.sent.count(now) + 1.0 <= most
+        real(self.sent(now) + 1) <= most
     }
 
-    /// Counts a request that was sent.
+    /// Counts a request that is sent once there is a connection.
+    pub fn begin(&mut self) {
+        self.waiting += 1;
+    }
+
+    /// Notes that such a request was given up.
+    pub fn give_up(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Notes that such a request was sent.
     pub fn note_sent(&mut self, now: Instant) {
-        self.all.note(now);
-        if self.is_cold(now) {
-            self.sent.note(now);
-        }
+        self.give_up();
+        self.sent.note(now);
     }
 }
 
--- a/crates/steer/tests/cold.rs
+++ b/crates/steer/tests/cold.rs
@@ -186,6 +186,7 @@
         let Vm { views, cold } = &mut self.vms[vm];
         let is_owner = !moment.is(Fault::Stop) && views.owns(place(vm).name, SERVER, at);
         if is_owner && now.is_multiple_of(STEP) && cold.allows(most(bound, views.share()), at) {
+            cold.begin();
             cold.note_sent(at);
             self.sent.push(now);
         }
@@ -283,3 +284,43 @@
     fleet.play(32.0);
     assert!(fleet.busiest_second() >= 14, "{}", fleet.busiest_second());
 }
+
+/// Load pattern: requests wait for connections to a server that does not accept them, until it does.
+#[test]
+fn requests_that_waited_for_a_connection_count_when_they_are_sent() {
+    let begin = Instant::now();
+    let after = |ms| begin + Duration::from_millis(ms);
+    let mut cold = Cold::default();
+    for _ in 0..14 {
+        assert!(cold.allows(14.4, begin));
+        cold.begin();
+    }
+    assert!(
+        !cold.allows(14.4, after(1_100)),
+        "they may be sent at any moment"
+    );
+    for _ in 0..13 {
+        cold.note_sent(after(1_200));
+    }
+    cold.give_up();
+    assert!(cold.allows(14.4, after(1_200)));
+    cold.begin();
+    cold.note_sent(after(1_200));
+    assert!(!cold.allows(14.4, after(2_100)));
+    assert!(cold.allows(14.4, after(2_200)));
+}
+
+/// Load pattern: a busy server is said to be cold.
+#[test]
+fn requests_to_a_server_taken_for_warm_count_once_it_is_cold() {
+    let begin = Instant::now();
+    let after = |ms| begin + Duration::from_millis(ms);
+    let mut cold = Cold::default();
+    for _ in 0..20 {
+        cold.begin();
+        cold.note_sent(begin);
+    }
+    cold.note_heartbeat(Duration::from_secs(3), after(500));
+    assert!(!cold.allows(14.4, after(600)));
+    assert!(cold.allows(14.4, after(1_000)));
+}
--- a/crates/steer/tests/sums.rs
+++ b/crates/steer/tests/sums.rs
@@ -63,6 +63,7 @@
             for gap in &asks {
                 now += Duration::from_millis(*gap);
                 if cold.allows(most(bound, 1.0), now) {
+                    cold.begin();
                     cold.note_sent(now);
                     sent.push(now);
                 }
