Take a server for warm again by what its heartbeat must have come after, not by fixed times

What callers would see: a server that restarted while the store is slow or away is sent its whole load while cold, and falls over.

Cause: a suspicion ended after a fixed 6 s, whatever the operators say of the service's warm-up, and by any heartbeat heard a second after the last look, although a heartbeat may be read 2 s after it was written when the store answers slowly (0.8 s between two questions, 0.5 s each way). Class: a belief ended by a time that a deployment or a fault may stretch.

Why this works: a VM knows until when it has all changes of the store: the time at which the last answered question was asked, its own or its lead's. What it hears next was written later. Only a heartbeat that was written after the last look that failed ends a suspicion; without one it lasts for the service's warm-up and 3 s, in which a look and the news of it pass.

Tests: a_server_that_was_unreachable_counts_as_cold_until_a_later_heartbeat is stricter (a heartbeat heard 2.3 s after the failure but perhaps older than it changes nothing; the earlier code took it), and ..._for_longer_than_it_stays_so with a warm-up of 4 s (the earlier code ended it at 6 s, before 6.9 s).

--- a/crates/entry/src/neighbour.rs
+++ b/crates/entry/src/neighbour.rs
@@ -36,6 +36,8 @@
     pub is_whole: bool,
     /// Time since the sender was last up to date, in milliseconds.
     pub age_ms: u64,
+    /// Time since the sender asked the store what it knows, in milliseconds.
+    pub asked_ms: u64,
     /// Time for which missing backend servers are still kept, in milliseconds.
     pub rejoin_ms: u64,
 }
@@ -76,6 +78,7 @@
         items: changes.unwrap_or_else(|| state.replica().all()),
         is_whole,
         age_ms: whole_ms(now.duration_since(read_at)),
+        asked_ms: whole_ms(now.duration_since(state.complete_at().unwrap_or(read_at))),
         rejoin_ms: whole_ms(rejoin.unwrap_or_default()),
     }
 }
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -53,7 +53,7 @@
 
 /// Notes that `live` could not be reached, and watches for its return.
 pub fn lose(state: &Rc<State>, live: &Rc<Live>) {
-    if !live.begin_loss(Instant::now()) {
+    if !live.begin_loss(state.warmup(&live.service), Instant::now()) {
         return;
     }
     event::emit(&Event::ServerLost {
@@ -76,7 +76,7 @@
             end(&live, was_cut, since);
             return;
         }
-        live.begin_loss(Instant::now());
+        live.begin_loss(state.warmup(&live.service), Instant::now());
         pause = (pause * 2).min(MOST);
     }
 }
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -90,7 +90,7 @@
             (Change::Heartbeat | Change::Leaving, Some(live)) if live.addr == server.entry.addr => {
                 live.slots.set(server.entry.slots);
                 live.ready.set(server.entry.phase == fleet::Phase::Ready);
-                live.note_heartbeat(&server.entry, now);
+                live.note_heartbeat(&server.entry, self.complete_at(), now);
                 live.log_belief(By::Registration, now);
                 if change == Change::Leaving {
                     live.idle.borrow_mut().clear();
@@ -152,7 +152,8 @@
         });
         let servers = self.servers.borrow();
         for live in servers.iter().filter(|live| live.zone == zone) {
-            live.cold.borrow_mut().suspect(now);
+            let warmup = self.warmup(&live.service);
+            live.cold.borrow_mut().suspect(warmup, now);
             live.log_belief(By::Evacuation, now);
         }
     }
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fleet::{Entry, Phase, Server, ServerId};
 use steer::cold::{Belief, Cold};
@@ -118,7 +118,7 @@
     pub fn new(server: &Server, region: &str, distance: Distance, now: Instant) -> Self {
         let entry = &server.entry;
         let mut cold = Cold::default();
-        cold.note_heartbeat(entry.warmup_left, now);
+        cold.note_heartbeat(entry.warmup_left, None, now);
         Self {
             id: Rc::clone(&server.id),
             hash: hash(server.id.as_bytes()),
@@ -169,12 +169,12 @@
         self.change_load(|load| load.note_told(running, waiting, now));
     }
 
-    /// Takes a heartbeat.
-    pub fn note_heartbeat(&self, entry: &Entry, now: Instant) {
+    /// Takes a heartbeat that was written after `after`, if that is known.
+    pub fn note_heartbeat(&self, entry: &Entry, after: Option<Instant>, now: Instant) {
         self.heartbeat.set(Heartbeat::new(entry, now));
         self.cold
             .borrow_mut()
-            .note_heartbeat(entry.warmup_left, now);
+            .note_heartbeat(entry.warmup_left, after, now);
     }
 
     /// Returns the age of its latest heartbeat, in milliseconds.
@@ -202,9 +202,10 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Notes that it could not be reached; returns whether it could before.
-    pub fn begin_loss(&self, now: Instant) -> bool {
-        self.cold.borrow_mut().suspect(now);
+    /// Notes that it could not be reached, and is cold for `warmup` if it restarts; returns whether it
+    /// could be reached before.
+    pub fn begin_loss(&self, warmup: Duration, now: Instant) -> bool {
+        self.cold.borrow_mut().suspect(warmup, now);
         self.log_belief(By::Loss, now);
         self.idle.borrow_mut().clear();
         !self.lost.replace(true)
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -72,6 +72,8 @@
     pub(crate) cut_at: Cell<Option<Instant>>,
     /// When the state was last brought up to date.
     read_at: Cell<Option<Instant>>,
+    /// Until when all changes of the store are known: what is heard next was written later.
+    complete_at: Cell<Option<Instant>>,
     revision: Cell<u64>,
     phase: watch::Sender<Phase>,
     /// When the process ends, once it has been told to.
@@ -81,6 +83,16 @@
     pub(crate) dropped_lines: Cell<u64>,
 }
 
+/// When a question to the store was asked and answered. Its answer holds all changes until some time
+/// between.
+#[derive(Debug, Clone, Copy)]
+pub struct Reading {
+    /// When it was asked, if that is known.
+    pub asked: Option<Instant>,
+    /// When it was answered.
+    pub answered: Instant,
+}
+
 /// A request counted as in flight until dropped.
 #[derive(Debug)]
 pub struct InFlight<'a>(&'a State);
@@ -130,6 +142,7 @@
             replica: RefCell::default(),
             cut_at: Cell::new(None),
             read_at: Cell::new(None),
+            complete_at: Cell::new(None),
             revision: Cell::new(0),
             phase,
             ends: Cell::new(None),
@@ -181,10 +194,17 @@
         self.revision.get()
     }
 
-    /// Notes that all changes up to `revision` are known.
-    pub fn set_revision(&self, revision: u64, read_at: Instant) {
+    /// Notes that all changes up to `revision` are known, as `reading` got them.
+    pub fn set_revision(&self, revision: u64, reading: Reading) {
         self.revision.set(revision);
-        self.read_at.set(Some(read_at));
+        self.read_at.set(Some(reading.answered));
+        self.complete_at.set(reading.asked);
+    }
+
+    /// Returns until when all changes of the store are known.
+    #[must_use]
+    pub fn complete_at(&self) -> Option<Instant> {
+        self.complete_at.get()
     }
 
     /// Returns when the state was last brought up to date.
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -14,7 +14,7 @@
 
 use crate::neighbour::{self, Snapshot};
 use crate::peers;
-use crate::state::State;
+use crate::state::{Reading, State};
 use crate::store::{Raw, Store, StoreError};
 
 /// Time between two questions for changes. Followers add theirs, and the sum has to stay well
@@ -104,9 +104,10 @@
         let Some(lead) = self.state.lead() else {
             return false;
         };
+        let asked = Instant::now();
         match neighbour::fetch(lead, self.state.revision(), LEAD_ANSWER).await {
             Ok(snapshot) if snapshot.age_ms < STALE_MS => {
-                take(self.state, store, snapshot);
+                take(self.state, store, snapshot, asked);
                 self.is_listed = true;
                 self.lost_since = None;
                 true
@@ -120,18 +121,19 @@
     }
 
     async fn read<S: Store>(&mut self, store: &mut S) -> Result<(), StoreError> {
+        let asked = Instant::now();
         if !self.is_listed {
             let (items, revision) = list(store).await?;
             self.note_answer();
             replace(self.state, store, items, revision);
-            self.state.set_revision(revision, Instant::now());
+            self.state.set_revision(revision, answered(asked));
             self.is_listed = true;
             return Ok(());
         }
         let batch = store.watch(self.state.revision(), WAIT).await?;
         self.note_answer();
         apply(self.state, store, batch.events);
-        self.state.set_revision(batch.revision, Instant::now());
+        self.state.set_revision(batch.revision, answered(asked));
         Ok(())
     }
 
@@ -164,9 +166,10 @@
             ahead.extend(self.state.settings.seeds.iter().copied());
         }
         for addr in ahead.into_iter().take(MAX_ASKED) {
+            let asked = Instant::now();
             match neighbour::fetch(addr, self.state.revision(), FAR_ANSWER).await {
                 Ok(snapshot) if snapshot.revision > self.state.revision() => {
-                    take(self.state, store, snapshot);
+                    take(self.state, store, snapshot, asked);
                     self.is_listed = true;
                     return;
                 }
@@ -177,9 +180,17 @@
     }
 }
 
-/// Takes what a neighbour knows. Registrations that it still waits for after an outage are waited
+/// Returns the reading that was asked at `asked` and is answered now.
+fn answered(asked: Instant) -> Reading {
+    Reading {
+        asked: Some(asked),
+        answered: Instant::now(),
+    }
+}
+
+/// Takes what a neighbour, asked at `asked`, knows. Registrations that it still waits for after an outage are waited
 /// for here too, unless this VM had news of the store all the while.
-fn take<S: Store>(state: &State, store: &S, snapshot: Snapshot) {
+fn take<S: Store>(state: &State, store: &S, snapshot: Snapshot, asked: Instant) {
     let now = Instant::now();
     let is_behind = state
         .read_at()
@@ -195,8 +206,16 @@
     } else {
         apply(state, store, snapshot.items);
     }
-    let age = Duration::from_millis(snapshot.age_ms);
-    state.set_revision(snapshot.revision, now.checked_sub(age).unwrap_or(now));
+    let reading = Reading {
+        asked: before(asked, snapshot.asked_ms),
+        answered: before(now, snapshot.age_ms).unwrap_or(now),
+    };
+    state.set_revision(snapshot.revision, reading);
+}
+
+/// Returns the time `ms` milliseconds before `at`, unless the clock began later.
+fn before(at: Instant, ms: u64) -> Option<Instant> {
+    at.checked_sub(Duration::from_millis(ms))
 }
 
 fn apply<S: Store>(state: &State, store: &S, items: Vec<Raw>) {
--- a/crates/entry/src/warmth.rs
+++ b/crates/entry/src/warmth.rs
@@ -1,6 +1,6 @@
 //! Cold backend servers: which entry VM owns one, and what is logged of that.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use event::Event;
 use steer::cold::Belief;
@@ -144,6 +144,16 @@
         });
     }
 
+    /// Returns the time for which a server of `service` stays cold after its start.
+    #[must_use]
+    pub fn warmup(&self, service: &str) -> Duration {
+        let config = self.config();
+        let service = config
+            .as_ref()
+            .and_then(|config| config.services.get(service));
+        service.map_or(Duration::ZERO, |service| service.warmup)
+    }
+
     /// Returns the requests a second that a cold server of `service` bears from all entry VMs.
     fn cold_bound(&self, service: &str) -> f64 {
         let bounds = self.bounds();
--- a/crates/steer/src/cold.rs
+++ b/crates/steer/src/cold.rs
@@ -13,12 +13,9 @@
 /// Span over which a cold server's requests are counted.
 pub const SPAN: Duration = Duration::from_secs(1);
 
-/// Time for which a server stays suspect if no heartbeat clears it.
-const SUSPECT: Duration = Duration::from_secs(6);
-
-/// Age from which a heartbeat was certainly written after a failure: the time between two
-/// readings of the store.
-const FRESH: Duration = Duration::from_secs(1);
+/// Time from the last sign that a server may be down until it is up again, at most: that between two
+/// looks at it, and the time that news takes.
+const UNSEEN: Duration = Duration::from_secs(3);
 
 /// Part of the servers outside an entry VM's zone that it loses at once only if it is cut off
 /// itself.
@@ -52,19 +49,26 @@
 pub struct Cold {
     /// Until when it said that it stays cold.
     until: Option<Instant>,
-    /// Since when it may have restarted without saying so yet.
-    suspect: Option<Instant>,
+    /// That it may have restarted without saying so yet.
+    suspicion: Option<Suspicion>,
     /// Requests that wait for a connection and may be sent at any moment.
     waiting: usize,
     /// Requests sent, whatever was believed then.
     sent: Window,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Suspicion {
+    since: Instant,
+    /// When it ends if no heartbeat clears it.
+    until: Instant,
+}
+
 impl Default for Cold {
     fn default() -> Self {
         Self {
             until: None,
-            suspect: None,
+            suspicion: None,
             waiting: 0,
             sent: Window::new(SPAN),
         }
@@ -72,22 +76,25 @@
 }
 
 impl Cold {
-    /// Takes a heartbeat which says that the server stays cold for `left`.
-    pub fn note_heartbeat(&mut self, left: Duration, now: Instant) {
+    /// Takes a heartbeat which says that the server stays cold for `left`. It was written after
+    /// `after`, if that is known.
+    pub fn note_heartbeat(&mut self, left: Duration, after: Option<Instant>, now: Instant) {
         self.until = (!left.is_zero()).then(|| now + left);
-        if self.suspect.is_some_and(|since| now >= since + FRESH) {
-            self.suspect = None;
-        }
+        self.suspicion
+            .take_if(|suspicion| after.is_some_and(|after| suspicion.since <= after));
     }
 
-    /// Notes that the server may have restarted at `now`.
-    pub fn suspect(&mut self, now: Instant) {
-        self.suspect = Some(now);
+    /// Notes that the server may have restarted at `now` or may soon, and is cold for `warmup` then.
+    pub fn suspect(&mut self, warmup: Duration, now: Instant) {
+        self.suspicion = Some(Suspicion {
+            since: now,
+            until: now + warmup + UNSEEN,
+        });
     }
 
     /// Notes that the server has not restarted after all.
     pub fn trust(&mut self) {
-        self.suspect = None;
+        self.suspicion = None;
     }
 
     /// Returns whether the server said that it is cold.
@@ -102,8 +109,8 @@
         if self.says_cold(now) {
             return Belief::Cold;
         }
-        match self.suspect {
-            Some(since) if now < since + SUSPECT => Belief::Suspect,
+        match self.suspicion {
+            Some(suspicion) if now < suspicion.until => Belief::Suspect,
             _ => Belief::Warm,
         }
     }
--- a/crates/steer/tests/cold.rs
+++ b/crates/steer/tests/cold.rs
@@ -202,7 +202,7 @@
 
 fn fresh(now: Instant) -> Vm {
     let mut cold = Cold::default();
-    cold.note_heartbeat(Duration::from_mins(1), now);
+    cold.note_heartbeat(Duration::from_mins(1), None, now);
     Vm {
         views: Views::default(),
         cold,
@@ -320,7 +320,7 @@
         cold.begin();
         cold.note_sent(begin);
     }
-    cold.note_heartbeat(Duration::from_secs(3), after(500));
+    cold.note_heartbeat(Duration::from_secs(3), None, after(500));
     assert!(!cold.allows(14.4, after(600)));
     assert!(cold.allows(14.4, after(1_000)));
 }
--- a/crates/steer/tests/sums.rs
+++ b/crates/steer/tests/sums.rs
@@ -58,7 +58,7 @@
         let mut sent: Vec<Instant> = Vec::new();
         for _ in 0..2 {
             let mut cold = Cold::default();
-            cold.note_heartbeat(Duration::from_mins(1), begin);
+            cold.note_heartbeat(Duration::from_mins(1), None, begin);
             let mut now = begin;
             for gap in &asks {
                 now += Duration::from_millis(*gap);
@@ -93,22 +93,39 @@
     }
 }
 
+/// Time for which servers of the tests stay cold after their start.
+const WARMUP: Duration = Duration::from_secs(4);
+
 /// Load pattern: a server that was lost comes back cold before its heartbeat says so.
 #[test]
 fn a_server_that_was_unreachable_counts_as_cold_until_a_later_heartbeat() {
     let begin = Instant::now();
     let after = |ms| begin + Duration::from_millis(ms);
     let mut cold = Cold::default();
-    cold.suspect(begin);
-    cold.note_heartbeat(Duration::ZERO, after(300));
+    cold.suspect(WARMUP, after(300));
+    cold.note_heartbeat(Duration::ZERO, None, after(600));
+    assert!(cold.is_cold(after(700)), "nobody knows when it was written");
+    cold.note_heartbeat(Duration::ZERO, Some(begin), after(2_600));
+    assert!(
+        cold.is_cold(after(2_700)),
+        "it was read late, and may be older than the failure"
+    );
+    cold.note_heartbeat(Duration::ZERO, Some(after(300)), after(2_800));
+    assert!(!cold.is_cold(after(2_800)));
+}
+
+/// Load pattern: a server that was lost comes back cold while the store is away.
+#[test]
+fn a_server_that_was_unreachable_counts_as_cold_for_longer_than_it_stays_so() {
+    let begin = Instant::now();
+    let mut cold = Cold::default();
+    cold.suspect(WARMUP, begin);
+    let seen_down_for = Duration::from_millis(2_900);
+    assert!(cold.is_cold(begin + seen_down_for + WARMUP));
     assert!(
-        cold.is_cold(after(400)),
-        "the heartbeat may be older than the failure"
+        !cold.is_cold(begin + WARMUP * 2),
+        "suspicion ends by itself"
     );
-    cold.note_heartbeat(Duration::ZERO, after(1_500));
-    assert!(!cold.is_cold(after(1_600)));
-    cold.suspect(begin);
-    assert!(!cold.is_cold(after(6_001)), "suspicion ends by itself");
 }
 
 /// Load pattern: a VM is cut off and comes back. Servers did not restart, and need not warm up. When
