Let a new process begin with what a workspace's rate gives while it starts, not with a burst

What callers would see: when entry VMs die again and again, a workspace is let go beyond its rate, and its requests take the room of others'.

A new process began with its even part of the whole burst, in the belief that it takes longer to start than the rate takes to refill that. With a burst of three seconds of the rate it does not.

Evidence: tests/quota.rs lets eight VMs die and start anew eight times.

--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -20,8 +20,9 @@
 /// that callers move to can serve them before it has told of them.
 const EXPECTED: f64 = 0.5;
 
-/// Part of the burst that a new process starts with, since others may have used the rest.
-const FIRST_TOKENS: f64 = 0.5;
+/// Time that a process takes at least to start anew, in seconds. It begins with what the rate gives
+/// in that time, since it does not know what was admitted before.
+const START_S: f64 = 0.5;
 
 /// Weight of the latest interval in the running demand.
 const LATEST: f64 = 0.4;
@@ -84,15 +85,15 @@
 }
 
 impl Account {
-    /// Creates the account of one of `vms` entry VMs. It begins with an even part of the burst: a
-    /// process takes longer to start than the rate takes to refill that part.
+    /// Creates the account of one of `vms` entry VMs.
     #[must_use]
     pub fn new(rate: Rate, vms: usize, now: Instant) -> Self {
+        let first = (rate.per_s * START_S).min(rate.burst);
         Self {
             rate,
             others: Others::default(),
-            fleet: rate.burst * FIRST_TOKENS,
-            own: rate.burst / real(vms.max(1)) + 1.0,
+            fleet: first,
+            own: first / real(vms.max(1)) + 1.0,
             own_per_s: rate.per_s,
             refilled: now,
             asked: 0,
--- a/crates/steer/tests/quota.rs
+++ b/crates/steer/tests/quota.rs
@@ -30,6 +30,21 @@
     rate.per_s.mul_add(5.0, rate.burst) * 1.1 + 20.0
 }
 
+/// Returns the accounts of `vms` VMs that have just started and hear of `heard`.
+fn accounts(vms: usize, heard: usize, rate: Rate, now: Instant) -> Vec<Account> {
+    let others = Others {
+        vms,
+        heard,
+        ..Others::default()
+    };
+    let account = |_| {
+        let mut account = Account::new(rate, vms, now);
+        account.rebalance(rate, others, 0.0, now);
+        account
+    };
+    (0..vms).map(account).collect()
+}
+
 /// A fleet of which some VMs hear of nobody in a span of time.
 struct Fleet {
     rate: Rate,
@@ -46,18 +61,9 @@
 impl Fleet {
     fn new(vms: usize, rate: Rate) -> Self {
         let now = Instant::now();
-        let mut accounts: Vec<Account> = (0..vms).map(|_| Account::new(rate, vms, now)).collect();
-        let others = Others {
-            vms,
-            heard: vms,
-            ..Others::default()
-        };
-        for account in &mut accounts {
-            account.rebalance(rate, others, 0.0, now);
-        }
         Self {
             rate,
-            accounts,
+            accounts: accounts(vms, vms, rate, now),
             told: vec![vec![(0.0, 0.0); vms]; LAG],
             now,
             admitted: Vec::new(),
@@ -66,6 +72,14 @@
         }
     }
 
+    /// Lets all VMs die and start anew; none knows what was admitted.
+    fn restart(&mut self, down: Duration) {
+        self.now += down;
+        let vms = self.accounts.len();
+        self.accounts = accounts(vms, 1, self.rate, self.now);
+        self.told = vec![vec![(0.0, 0.0); vms]; LAG];
+    }
+
     /// Plays a tick in which each VM gets `per_s` requests a second and those from `cut` on hear
     /// of nobody.
     fn tick(&mut self, per_s: &[f64], cut: usize) {
@@ -160,6 +174,30 @@
     );
 }
 
+/// Load pattern: all VMs die again and again, and a workspace sends many times its usual.
+#[test]
+fn processes_that_start_anew_do_not_admit_a_whole_burst_each_time() {
+    for (burst, up_ticks) in [(300.0, 1), (300.0, 2), (300.0, 5), (900.0, 2), (900.0, 5)] {
+        let hot = Rate {
+            per_s: 300.0,
+            burst,
+        };
+        let mut fleet = Fleet::new(8, hot);
+        for _ in 0..8 {
+            for tick in 0..up_ticks {
+                fleet.tick(&[500.0; 8], if tick < LAG { 0 } else { 8 });
+            }
+            fleet.restart(Duration::from_millis(500));
+        }
+        let most = fleet.most();
+        assert!(
+            most <= bound(hot),
+            "{most} of {}: burst {burst}, up for {up_ticks} ticks",
+            bound(hot)
+        );
+    }
+}
+
 /// Load pattern: callers of a workspace move to other entry VMs within its rate.
 #[test]
 fn callers_that_move_are_not_refused() {
