Let a new process's standing number of repeats grow over the window

What callers would see: when entry VMs die again and again while a service fails, its repeats add to the load that makes it fail.

Cause: again a sum over the fleet and a time, guarded by what one process remembers. Each new process began with its part of the standing number of repeats, although the one before it may have used that within the same window.

Why this works: a process has as much of the window's standing number as it has been up for of the window, so what processes one after the other use cannot exceed the whole.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -32,6 +32,8 @@
     /// Settings at the start; see [`State::bounds`] for those that may change.
     pub settings: Settings,
     bounds: Cell<Bounds>,
+    /// When the process started.
+    started: Instant,
     /// Header names.
     pub names: Names,
     /// Backend servers.
@@ -120,6 +122,7 @@
         let room = Room::new(settings.memory_bytes);
         Self {
             bounds: Cell::new(settings.bounds),
+            started: Instant::now(),
             settings,
             names,
             servers: RefCell::default(),
@@ -348,7 +351,7 @@
         let bound = self.bounds().repeats;
         let budget = budgets
             .entry(service.to_owned())
-            .or_insert_with(|| Budget::new(bound));
+            .or_insert_with(|| Budget::new(bound, self.started));
         budget.set_bound(bound);
         budget.take(vms, Instant::now())
     }
@@ -361,7 +364,7 @@
             budget.note_request(now);
             return;
         }
-        let mut budget = Budget::new(self.bounds().repeats);
+        let mut budget = Budget::new(self.bounds().repeats, self.started);
         budget.note_request(now);
         budgets.insert(service.to_owned(), budget);
     }
--- a/crates/steer/tests/sums.rs
+++ b/crates/steer/tests/sums.rs
@@ -37,17 +37,53 @@
     ) {
         let now = Instant::now();
         let mut repeats = 0;
+        let at = now + BOUND.window;
         for _ in 0..vms {
-            let mut budget = Budget::new(BOUND);
+            let mut budget = Budget::new(BOUND, now);
             for _ in 0..requests {
-                budget.note_request(now);
+                budget.note_request(at);
             }
-            repeats += (0..wanted).filter(|_| budget.take(vms, now)).count();
+            repeats += (0..wanted).filter(|_| budget.take(vms, at)).count();
         }
         let most = (requests * vms) as f64 * BOUND.ratio + BOUND.extra;
         prop_assert!(repeats as f64 <= most, "{repeats} of {most}");
     }
 
+    #[test]
+    fn repeats_of_processes_that_start_anew_stay_within_the_bound(
+        vms in 1..20_usize,
+        ends in prop::collection::vec(100..4_000_u64, 1..8),
+        requests in 0..30_usize,
+    ) {
+        let mut now = Instant::now();
+        let mut repeats: Vec<Instant> = Vec::new();
+        let mut starts: Vec<Instant> = Vec::new();
+        for up_ms in &ends {
+            let mut budgets: Vec<Budget> = (0..vms).map(|_| Budget::new(BOUND, now)).collect();
+            for ms in (0..*up_ms).step_by(50) {
+                let at = now + Duration::from_millis(ms);
+                for budget in &mut budgets {
+                    if ms == 0 {
+                        (0..requests).for_each(|_| budget.note_request(at));
+                    }
+                    while budget.take(vms, at) {
+                        repeats.push(at);
+                    }
+                }
+            }
+            starts.push(now);
+            now += Duration::from_millis(*up_ms);
+        }
+        for (index, first) in repeats.iter().enumerate() {
+            let within = |at: &&Instant| at.duration_since(*first) < BOUND.window;
+            let count = repeats[index..].iter().take_while(within).count();
+            let counted = starts.iter().filter(|at| **at + BOUND.window > *first && within(at));
+            let asked = counted.count() * requests * vms;
+            let most = (asked as f64).mul_add(BOUND.ratio, BOUND.extra);
+            prop_assert!(count as f64 <= most, "{count} of {most}");
+        }
+    }
+
     #[test]
     fn a_cold_server_gets_less_than_its_bound_from_two_owners(
         per_s in 5.0..60.0_f64,
