--- a/crates/entry/src/balance.rs
+++ b/crates/entry/src/balance.rs
@@ -181,45 +181,4 @@
             event::emit(&event::Event::LinesDropped { lines });
         }
     }
-
-    /// Sets the metrics that are values of now.
-    pub fn set_gauges(&self) {
-        let gauges = self.metrics.gauges();
-        gauges.in_flight.set(whole(self.in_flight()));
-        gauges.version.set(whole(self.version().0));
-        gauges.lines_dropped.set(whole(event::dropped()));
-        gauges
-            .vms
-            .set(whole(self.picture.borrow().vms.len() as u64));
-        let age = self
-            .read_at()
-            .map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64());
-        gauges.store_age.set(age);
-        let servers = self.servers.borrow();
-        for service in servers.services() {
-            let ready = servers.of(service).iter().filter(|live| live.ready.get());
-            gauges
-                .servers
-                .with_label_values(&[service])
-                .set(real(ready.count()));
-        }
-        for (service, busy) in &*self.busy.borrow() {
-            gauges.busy.with_label_values(&[service]).set(*busy);
-        }
-        for (service, spill) in &*self.spills.borrow() {
-            gauges
-                .spill
-                .with_label_values(&[service, "zone"])
-                .set(spill.zone);
-            gauges
-                .spill
-                .with_label_values(&[service, "region"])
-                .set(spill.region);
-        }
-    }
-}
-
-/// Returns a count in the type of the metrics.
-fn whole(count: u64) -> i64 {
-    i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod caller;
 mod daemon;
+mod gauges;
 mod head;
 mod held;
 mod job;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -37,9 +37,11 @@
     STORE_AGE,
     VERSION,
     SERVERS,
+    COLD,
     BUSY,
     SPILL,
     VMS,
+    VMS_KNOWN,
     LINES_DROPPED,
 ];
 
@@ -118,6 +120,12 @@
     &["service"],
     "Backend servers that take new work.",
 );
+const COLD: Entry = entry(
+    "teaseldoor_cold_servers",
+    "gauge",
+    &["service", "belief"],
+    "Backend servers that said they are cold, or are suspected to be.",
+);
 const BUSY: Entry = entry(
     "teaseldoor_zone_busy_ratio",
     "gauge",
@@ -136,6 +144,12 @@
     &[],
     "Entry VMs that are heard of, this one included.",
 );
+const VMS_KNOWN: Entry = entry(
+    "teaseldoor_entry_vms_known",
+    "gauge",
+    &[],
+    "Entry VMs that are announced, or were until lately, this one included.",
+);
 const LINES_DROPPED: Entry = entry(
     "teaseldoor_log_lines_dropped",
     "gauge",
@@ -168,12 +182,16 @@
     pub version: IntGauge,
     /// Backend servers by service.
     pub servers: GaugeVec,
+    /// Cold servers by service and belief.
+    pub cold: GaugeVec,
     /// Busyness by service.
     pub busy: GaugeVec,
     /// Objects that begin elsewhere, by service and place.
     pub spill: GaugeVec,
-    /// Entry VMs.
+    /// Entry VMs that are heard of.
     pub vms: IntGauge,
+    /// Entry VMs that are known.
+    pub vms_known: IntGauge,
     /// Dropped log lines.
     pub lines_dropped: IntGauge,
 }
@@ -203,9 +221,11 @@
             store_age: gauge(&STORE_AGE),
             version: whole_gauge(&VERSION),
             servers: gauges(&SERVERS),
+            cold: gauges(&COLD),
             busy: gauges(&BUSY),
             spill: gauges(&SPILL),
             vms: whole_gauge(&VMS),
+            vms_known: whole_gauge(&VMS_KNOWN),
             lines_dropped: whole_gauge(&LINES_DROPPED),
         };
         metrics(Box::new(requests.clone()));
@@ -219,9 +239,11 @@
         metrics(Box::new(gauges.store_age.clone()));
         metrics(Box::new(gauges.version.clone()));
         metrics(Box::new(gauges.servers.clone()));
+        metrics(Box::new(gauges.cold.clone()));
         metrics(Box::new(gauges.busy.clone()));
         metrics(Box::new(gauges.spill.clone()));
         metrics(Box::new(gauges.vms.clone()));
+        metrics(Box::new(gauges.vms_known.clone()));
         metrics(Box::new(gauges.lines_dropped.clone()));
         Self {
             registry,
