Rely on no remembered answer about owners once the view is old

Cause: whether a VM owns a cold server is worked out once a tick and remembered, and the age of the view was looked at only then. A VM that stood still went by what it remembered until its next tick, whatever the others had decided meanwhile.

--- a/crates/entry/src/warmth.rs
+++ b/crates/entry/src/warmth.rs
@@ -49,10 +49,11 @@
 
 impl State {
     /// Returns whether this entry VM may send work to the cold server `live`, as of the latest tick. One
-    /// that stops may not, since the others know of a next one soon.
+    /// that stops may not, since the others know of a next one soon, nor one that stood still since.
     #[must_use]
     pub fn owns(&self, live: &Live) -> bool {
-        if self.is_leaving() {
+        let now = Instant::now();
+        if self.is_leaving() || !self.views.borrow().is_fresh(now) {
             return false;
         }
         if let Some(is_own) = self.owned.borrow().get(&live.hash) {
@@ -61,7 +62,7 @@
         let own = peers::rank(&self.settings.vm);
         let server = place(live.hash, &live.zone, &live.region);
         let views = self.views.borrow();
-        let is_own = views.owns(own, server, Instant::now());
+        let is_own = views.owns(own, server, now);
         self.owned.borrow_mut().insert(live.hash, is_own);
         let owner = views.owner(server);
         if live.owner.replace((owner, is_own)) != (owner, is_own) {
--- a/crates/steer/src/owner.rs
+++ b/crates/steer/src/owner.rs
@@ -101,7 +101,9 @@
         shares.reduce(f64::min).unwrap_or_default()
     }
 
-    fn is_fresh(&self, now: Instant) -> bool {
+    /// Returns whether the latest view may be relied on.
+    #[must_use]
+    pub fn is_fresh(&self, now: Instant) -> bool {
         self.confirmed.is_some_and(|at| now < at + STALE)
     }
 }
