Let no heartbeat from a whole list end a suspicion

Cause: a lead leaves plain heartbeats out of what it tells, so a whole list that a VM takes later, from the store or from a lead, can hold a heartbeat that is new to it and yet older than the last complete reading; it would have ended a suspicion that began after it. Why this works: with a list, nothing is known of when its entries were written (a_server_that_was_unreachable_counts_as_cold_until_a_later_heartbeat has that case).

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -204,6 +204,11 @@
         self.complete_at.set(reading.asked);
     }
 
+    /// Notes that what is heard next may be old: a list holds heartbeats that a lead left out before.
+    pub fn forget_completeness(&self) {
+        self.complete_at.set(None);
+    }
+
     /// Returns until when all changes of the store are known.
     #[must_use]
     pub fn complete_at(&self) -> Option<Instant> {
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -188,8 +188,8 @@
     }
 }
 
-/// Takes what a neighbour, asked at `asked`, knows. Registrations that it still waits for after an outage are waited
-/// for here too, unless this VM had news of the store all the while.
+/// Takes what a neighbour, asked at `asked`, knows. Registrations that it still waits for after an
+/// outage are waited for here too, unless this VM had news of the store all the while.
 fn take<S: Store>(state: &State, store: &S, snapshot: Snapshot, asked: Instant) {
     let now = Instant::now();
     let is_behind = state
@@ -241,6 +241,7 @@
 
 /// Puts `items` in the place of all that was known.
 fn replace<S: Store>(state: &State, store: &S, items: Vec<Raw>, revision: u64) {
+    state.forget_completeness();
     let listed: HashSet<String> = items.iter().map(|raw| raw.key.clone()).collect();
     let unlisted = state.replica().unlisted(&listed);
     let gone = unlisted.into_iter().map(|key| Raw {
