--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -32,8 +32,6 @@
     /// Settings at the start; see [`State::bounds`] for those that may change.
     pub settings: Settings,
     bounds: Cell<Bounds>,
-    /// When the process started.
-    started: Instant,
     /// Header names.
     pub names: Names,
     /// Backend servers.
@@ -122,7 +120,6 @@
         let room = Room::new(settings.memory_bytes);
         Self {
             bounds: Cell::new(settings.bounds),
-            started: Instant::now(),
             settings,
             names,
             servers: RefCell::default(),
@@ -356,7 +353,7 @@
         let bound = self.bounds().repeats;
         let budget = budgets
             .entry(service.to_owned())
-            .or_insert_with(|| Budget::new(bound, self.started));
+            .or_insert_with(|| Budget::new(bound));
         budget.set_bound(bound);
         budget.take(vms, Instant::now())
     }
@@ -369,7 +366,7 @@
             budget.note_request(now);
             return;
         }
-        let mut budget = Budget::new(self.bounds().repeats, self.started);
+        let mut budget = Budget::new(self.bounds().repeats);
         budget.note_request(now);
         budgets.insert(service.to_owned(), budget);
     }
--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -2,8 +2,7 @@
 //!
 //! Answers a failing service: if each failed request were sent again, the repeats would add to
 //! the load that made it fail. All entry VMs together may repeat a part of the requests and a
-//! standing number; each takes its part of that number without asking. A process that has just
-//! started does not know what the one before it repeated, so its part grows over the window.
+//! standing number; each takes its part of that number without asking.
 
 use std::time::{Duration, Instant};
 
@@ -28,19 +27,16 @@
 #[derive(Debug)]
 pub struct Budget {
     bound: Bound,
-    /// When the process started.
-    started: Instant,
     requests: Window,
     repeats: Window,
 }
 
 impl Budget {
-    /// Creates an unused budget of a process that started at `started`.
+    /// Creates an unused budget.
     #[must_use]
-    pub fn new(bound: Bound, started: Instant) -> Self {
+    pub fn new(bound: Bound) -> Self {
         Self {
             bound,
-            started,
             requests: Window::new(bound.window),
             repeats: Window::new(bound.window),
         }
@@ -68,9 +64,7 @@
 
     fn room(&mut self, vms: usize, now: Instant) -> f64 {
         let requests = self.requests.count(now);
-        let up = now.duration_since(self.started).as_secs_f64();
-        let part = (up / self.bound.window.as_secs_f64()).min(1.0);
-        let extra = self.bound.extra * part / real(vms.max(1));
+        let extra = self.bound.extra / real(vms.max(1));
         MARGIN * (self.bound.ratio * requests + extra)
     }
 }
