Log and count the limits that backend servers name

Cause: of the hypotheses on servers that got a multiple of the limit they had named, the log could distinguish none: no line and no metric said what a VM knows of a server's limit.

Change: what a server says of itself in a response (load, limit) is read in one place into a typed value. Event ServerLimitChanged, one HeaderInvalid a response that cannot be read, metrics teaseldoor_limited_servers and teaseldoor_bad_headers_total. No decision changes: the limit is kept, not used.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::reach;
 use crate::request_log::attempt_of;
 use crate::response::{Refusal, forwarded_head};
+use crate::said::{self, Said};
 use crate::servers::Backend;
 use crate::state::State;
 use crate::upstream::{self, Outcome, Outgoing, Response, Reuse};
@@ -268,13 +269,10 @@
                 .quarantine
                 .note_response(fingerprint, backend.addr);
         }
-        let reported = response.head.fields.text(self.state.names.load);
-        let mut reported = reported
-            .unwrap_or_default()
-            .split(',')
-            .map(|part| part.trim().parse());
-        if let (Some(Ok(running)), Some(Ok(waiting))) = (reported.next(), reported.next()) {
-            backend.note_load(running, waiting, Instant::now());
+        let said = Said::new(&response.head.fields, &self.state.names);
+        self.note_limit(backend, said.limit);
+        if let Some(load) = said.load {
+            backend.note_load(load.running, load.waiting, Instant::now());
             self.state.without_load.borrow_mut().remove(self.service);
         } else if (200..300).contains(&response.head.status) {
             let mut without_load = self.state.without_load.borrow_mut();
@@ -282,6 +280,23 @@
         }
     }
 
+    /// Records the limit that a response of `backend` names. A limit that cannot be read leaves the
+    /// earlier one in force.
+    fn note_limit(&self, backend: &Backend, limit: said::Limit) {
+        match limit {
+            said::Limit::Absent => backend.note_limit(None),
+            said::Limit::PerS(per_s) => backend.note_limit(Some(per_s)),
+            said::Limit::Invalid => {
+                self.state.metrics.note_bad_header();
+                event::emit(&Event::HeaderInvalid {
+                    request: attempt_of(self.state, &self.incoming.head),
+                    server: backend.id.to_string(),
+                    header: self.state.names.limit.to_owned(),
+                });
+            }
+        }
+    }
+
     /// Records the outcome of an attempt at `backend`, and decides what follows.
     fn next_step(&mut self, backend: &Rc<Backend>, outcome: Outcome) -> Result<Step, Refusal> {
         let mut is_retriable = self.route.idempotency == Idempotency::Idempotent;
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -55,6 +55,8 @@
             };
             let ready = count(&|backend| backend.ready.get());
             gauges.servers.with_label_values(&[service]).set(ready);
+            let limited = count(&|backend| backend.limit.get().is_some());
+            gauges.limited.with_label_values(&[service]).set(limited);
             for warmth in [Warmth::Suspect, Warmth::Cold] {
                 let matching = count(&|backend| backend.warmth(now) == warmth);
                 let labels = [service.as_str(), warmth.name()];
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod replica;
 mod request_log;
 mod response;
+mod said;
 mod serve;
 mod servers;
 mod settings;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,6 +32,7 @@
     IN_FLIGHT,
     REJECTED_CONNECTIONS,
     BAD_MESSAGES,
+    BAD_HEADERS,
     SOCKET_ERRORS,
     STORE_CALLS,
     MESSAGES,
@@ -39,6 +40,7 @@
     STORE_AGE,
     VERSION,
     SERVERS,
+    LIMITED,
     COLD,
     UTILIZATION,
     SPILL,
@@ -86,6 +88,12 @@
     &[],
     "Callers' connections closed since too many were open.",
 );
+const BAD_HEADERS: Entry = entry(
+    "teaseldoor_bad_headers_total",
+    "counter",
+    &[],
+    "Headers of backend servers' responses that could not be read.",
+);
 const BAD_MESSAGES: Entry = entry(
     "teaseldoor_bad_messages_total",
     "counter",
@@ -128,6 +136,12 @@
     &[],
     "Version of the configuration in force.",
 );
+const LIMITED: Entry = entry(
+    "teaseldoor_limited_servers",
+    "gauge",
+    &["service"],
+    "Backend servers that name a limit on their requests.",
+);
 const SERVERS: Entry = entry(
     "teaseldoor_backend_servers",
     "gauge",
@@ -183,6 +197,7 @@
     admissions: IntCounterVec,
     rejected_connections: IntCounter,
     bad_messages: IntCounter,
+    bad_headers: IntCounter,
     socket_errors: IntCounter,
     gauges: Gauges,
 }
@@ -198,6 +213,8 @@
     pub version: IntGauge,
     /// Backend servers by service.
     pub servers: GaugeVec,
+    /// Backend servers that name a limit, by service.
+    pub limited: GaugeVec,
     /// Cold backend servers by service and warmth.
     pub cold: GaugeVec,
     /// Utilization by service.
@@ -233,12 +250,14 @@
         let admissions = counters(&ADMISSIONS);
         let rejected_connections = counter(&REJECTED_CONNECTIONS);
         let bad_messages = counter(&BAD_MESSAGES);
+        let bad_headers = counter(&BAD_HEADERS);
         let socket_errors = counter(&SOCKET_ERRORS);
         let gauges = Gauges {
             in_flight: int_gauge(&IN_FLIGHT),
             store_age: gauge(&STORE_AGE),
             version: int_gauge(&VERSION),
             servers: gauges(&SERVERS),
+            limited: gauges(&LIMITED),
             cold: gauges(&COLD),
             utilization: gauges(&UTILIZATION),
             spill: gauges(&SPILL),
@@ -254,11 +273,13 @@
         register(Box::new(admissions.clone()));
         register(Box::new(rejected_connections.clone()));
         register(Box::new(bad_messages.clone()));
+        register(Box::new(bad_headers.clone()));
         register(Box::new(socket_errors.clone()));
         register(Box::new(gauges.in_flight.clone()));
         register(Box::new(gauges.store_age.clone()));
         register(Box::new(gauges.version.clone()));
         register(Box::new(gauges.servers.clone()));
+        register(Box::new(gauges.limited.clone()));
         register(Box::new(gauges.cold.clone()));
         register(Box::new(gauges.utilization.clone()));
         register(Box::new(gauges.spill.clone()));
@@ -275,6 +296,7 @@
             admissions,
             rejected_connections,
             bad_messages,
+            bad_headers,
             socket_errors,
             gauges,
         }
@@ -351,6 +373,11 @@
         self.bad_messages.inc();
     }
 
+    /// Counts a header of a backend server's response that could not be read.
+    pub fn note_bad_header(&self) {
+        self.bad_headers.inc();
+    }
+
     /// Counts a socket option that could not be set; the connection is used without it.
     pub fn note_socket_error(&self) {
         self.socket_errors.inc();
--- a/crates/entry/src/names.rs
+++ b/crates/entry/src/names.rs
@@ -19,6 +19,8 @@
     pub not_run: &'static str,
     /// Header: load of a backend server: requests running, requests waiting, slots.
     pub load: &'static str,
+    /// Header: requests a second that a backend server takes from all entry VMs together.
+    pub limit: &'static str,
     /// Path of lookups of entry VMs.
     pub lookup_path: &'static str,
     /// Path at which the platform checks whether an entry VM is ready.
--- /dev/null
+++ b/crates/entry/src/said.rs
@@ -0,0 +1,84 @@
+//! What a backend server says of itself in a response.
+
+use crate::head::Fields;
+use crate::names::Names;
+
+/// Longest text of a limit that is read, in bytes.
+const MAX_LIMIT_BYTES: usize = 32;
+
+/// What a backend server says of itself in one response.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Said {
+    /// Its load.
+    pub load: Option<Load>,
+    /// Its limit.
+    pub limit: Limit,
+}
+
+/// Requests at a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// The limit that a response names.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Limit {
+    /// None.
+    Absent,
+    /// Requests a second from all entry VMs together; finite and not negative.
+    PerS(f64),
+    /// No value that can be read.
+    Invalid,
+}
+
+impl Said {
+    /// Reads the headers of a response.
+    #[must_use]
+    pub fn new(fields: &Fields, names: &Names) -> Self {
+        Self {
+            load: fields.text(names.load).and_then(load),
+            limit: limit(fields.all(names.limit)),
+        }
+    }
+}
+
+fn load(text: &str) -> Option<Load> {
+    let mut parts = text.split(',').map(|part| part.trim().parse().ok());
+    Some(Load {
+        running: parts.next()??,
+        waiting: parts.next()??,
+    })
+}
+
+/// Returns the lowest of the limits that the header's values name.
+fn limit<'a>(values: impl Iterator<Item = &'a [u8]>) -> Limit {
+    let mut limit = Limit::Absent;
+    for value in values {
+        limit = match (limit, decimal(value)) {
+            (Limit::PerS(lowest), Some(per_s)) => Limit::PerS(per_s.min(lowest)),
+            (Limit::PerS(lowest), None) => Limit::PerS(lowest),
+            (_, Some(per_s)) => Limit::PerS(per_s),
+            (_, None) => Limit::Invalid,
+        };
+    }
+    limit
+}
+
+/// Returns the value of digits with at most one decimal point.
+fn decimal(value: &[u8]) -> Option<f64> {
+    let text = std::str::from_utf8(value).ok()?.trim();
+    let is_digit = |byte: u8| byte.is_ascii_digit();
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
+    let is_decimal = text.len() <= MAX_LIMIT_BYTES
+        && !(whole.is_empty() && fraction.is_empty())
+        && whole.bytes().all(is_digit)
+        && fraction.bytes().all(is_digit);
+    is_decimal.then(|| text.parse().ok()).flatten()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/entry/src/said/tests.rs
@@ -0,0 +1,30 @@
+use super::{Limit, limit};
+
+fn of(values: &[&str]) -> Limit {
+    limit(values.iter().map(|value| value.as_bytes()))
+}
+
+#[test]
+fn reads_decimal_limits() {
+    assert_eq!(of(&[]), Limit::Absent);
+    assert_eq!(of(&["8.4"]), Limit::PerS(8.4));
+    assert_eq!(of(&[" 9 "]), Limit::PerS(9.0));
+    assert_eq!(of(&["0"]), Limit::PerS(0.0));
+    assert_eq!(of(&[".5"]), Limit::PerS(0.5));
+}
+
+#[test]
+fn invalid_limits_are_no_limits_and_no_withdrawal() {
+    let long = "9".repeat(400);
+    for value in ["", ".", "-1", "NaN", "inf", "1e3", "8,4", "8.4.1", &long] {
+        assert_eq!(of(&[value]), Limit::Invalid, "{value}");
+    }
+    assert_eq!(limit([&[0xff, 0x00][..]].into_iter()), Limit::Invalid);
+}
+
+#[test]
+fn lowest_of_several_limits_holds() {
+    assert_eq!(of(&["9", "5.5"]), Limit::PerS(5.5));
+    assert_eq!(of(&["5.5", "x", "9"]), Limit::PerS(5.5));
+    assert_eq!(of(&["x", "9"]), Limit::PerS(9.0));
+}
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use event::Event;
 use fleet::{Phase, Registration, Server, ServerId};
 use steer::load::Load;
 use steer::placement::{Distance, hash};
@@ -44,6 +45,8 @@
     pub owner: Cell<(Option<u64>, bool)>,
     /// Its warmth as last logged.
     pub logged_warmth: Cell<Warmth>,
+    /// Requests a second that it takes from all entry VMs together, by its latest response.
+    pub limit: Cell<Option<f64>>,
     /// Idle connections, the latest last.
     pub idle: RefCell<Vec<Idle>>,
     load: Cell<Load>,
@@ -133,6 +136,7 @@
             heartbeat: Cell::new(Heartbeat::new(registration, now)),
             owner: Cell::default(),
             logged_warmth: Cell::new(Warmth::Warm),
+            limit: Cell::new(None),
             idle: RefCell::default(),
             load: Cell::new(Load::new(now)),
             answered_at: Cell::new(None),
@@ -169,6 +173,20 @@
         self.change_load(|load| load.note_reported(running, waiting, now));
     }
 
+    /// Records the limit that its latest response names.
+    pub fn note_limit(&self, limit: Option<f64>) {
+        let earlier = self.limit.replace(limit);
+        if earlier == limit {
+            return;
+        }
+        event::emit(&Event::ServerLimitChanged {
+            server: self.id.to_string(),
+            service: self.service.clone(),
+            per_s: limit,
+            earlier_per_s: earlier,
+        });
+    }
+
     /// Records a heartbeat that was written after `after`, if that time is known.
     pub fn note_heartbeat(
         &self,
