Keep to the limits that backend servers name, summed over all entry VMs

Cause: no decision read the limit. Class: what a server says of itself that nobody reads.

Change: a server with a limit has an owner among the VMs, as cold servers and workspaces' rates have, which keeps one token bucket. A VM takes a token for each request to the server, and chooses another server at once if there is none; if no other has room, the caller learns when a token is due (reason server-limit). The question carries the limit, so the owner need not have heard of it; reports between VMs carry limits and their withdrawal. Questions to owners, until now part of the workspaces' rates, are a module of their own.

Conclusion: the owner's bucket bounds the sum whatever the number of VMs that know of the limit.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -27,6 +27,9 @@
 /// Maximum number of idle connections to one backend server.
 const MAX_IDLE: usize = 32;
 
+/// Number of servers without a token after which a request goes to no server that names a limit.
+const MAX_WITHOUT_TOKEN: u32 = 2;
+
 /// Minimum time after which a refused caller may retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -83,6 +86,8 @@
     pub servers: Vec<Rc<Backend>>,
     /// Counts of the attempts by their ending.
     pub counts: retry::Attempts,
+    /// Number of servers chosen whose limit had no token left.
+    without_token: u32,
     /// Warmth of the last attempt's backend server, and the age of its heartbeat in milliseconds.
     pub warmth: Option<(Warmth, u64)>,
     /// A backend server's error response, returned to the caller if no other server answers.
@@ -113,6 +118,10 @@
 
     async fn step(&mut self) -> Result<Step, Refusal> {
         let backend = self.choose()?;
+        if !self.state.admit_to_server(&backend).await {
+            self.attempts.without_token += 1;
+            return Ok(Step::Retry);
+        }
         self.attempt(&backend).await
     }
 
@@ -124,7 +133,7 @@
         let all = servers.of(self.service).iter().filter(is_eligible);
         let eligible: Vec<&Rc<Backend>> = all.collect();
         if eligible.is_empty() {
-            return Err(refusal(self.attempts.counts.exhausted_reason()));
+            return Err(self.exhausted(servers.of(self.service), now));
         }
         let candidate = |backend: &&Rc<Backend>| Candidate {
             server: backend.hash,
@@ -185,6 +194,27 @@
                 workspace_home_regions,
             )
             && self.is_warm_enough(backend, now)
+            && self.may_have_token(backend, now)
+    }
+
+    /// Returns whether the limit of `backend`, if it names one, may have a token left.
+    fn may_have_token(&self, backend: &Backend, now: Instant) -> bool {
+        let limiter = backend.limiter.borrow();
+        let is_limited = limiter.per_s().is_some();
+        !is_limited || (self.attempts.without_token < MAX_WITHOUT_TOKEN && limiter.may_ask(now))
+    }
+
+    /// Returns the refusal of a request that no server of `servers` may get. If limits are the reason, the
+    /// caller learns when the first of them has a token.
+    fn exhausted(&self, servers: &[Rc<Backend>], now: Instant) -> Refusal {
+        let usable = servers.iter().filter(|backend| backend.is_usable());
+        let waits = usable.filter_map(|backend| backend.limiter.borrow().remaining_wait(now));
+        match (waits.min(), self.attempts.counts.exhausted_reason()) {
+            (Some(wait), Reason::NoCapacity | Reason::NoServer) => {
+                Refusal::ServerLimit(wait + retry_jitter())
+            }
+            (_, reason) => refusal(reason),
+        }
     }
 
     /// Returns whether the request may be sent to `backend` as far as its warmth is concerned.
@@ -288,6 +318,9 @@
             said::Limit::PerS(per_s) => backend.note_limit(Some(per_s)),
             said::Limit::Invalid => {
                 self.state.metrics.note_bad_header();
+                if backend.logged_invalid.replace(true) {
+                    return;
+                }
                 event::emit(&Event::HeaderInvalid {
                     request: attempt_of(self.state, &self.incoming.head),
                     server: backend.id.to_string(),
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -55,7 +55,7 @@
             };
             let ready = count(&|backend| backend.ready.get());
             gauges.servers.with_label_values(&[service]).set(ready);
-            let limited = count(&|backend| backend.limit.get().is_some());
+            let limited = count(&|backend| backend.limiter.borrow().per_s().is_some());
             gauges.limited.with_label_values(&[service]).set(limited);
             for warmth in [Warmth::Suspect, Warmth::Cold] {
                 let matching = count(&|backend| backend.warmth(now) == warmth);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod announce;
+mod ask;
 mod balance;
 mod body;
 mod caller;
@@ -26,6 +27,7 @@
 mod response;
 mod said;
 mod serve;
+mod server_limit;
 mod servers;
 mod settings;
 mod snapshot;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -177,6 +177,7 @@
         usages: usages(state),
         loads: loads(state),
         crashes: state.quarantine.crashes(),
+        limits: state.reported_limits(Instant::now()),
     }
 }
 
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -52,6 +52,8 @@
     NoMemory(Duration),
     /// No backend server has capacity.
     NoCapacity(Duration),
+    /// The backend servers that could run it take no more requests by the limits that they named.
+    ServerLimit(Duration),
     /// No backend server may run it now.
     NoServer(Duration),
     /// Requests like it crash backend servers.
@@ -64,7 +66,7 @@
 
 impl Refusal {
     /// One of each kind.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Malformed,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
@@ -76,6 +78,7 @@
         Self::OverRate(Duration::ZERO),
         Self::NoMemory(Duration::ZERO),
         Self::NoCapacity(Duration::ZERO),
+        Self::ServerLimit(Duration::ZERO),
         Self::NoServer(Duration::ZERO),
         Self::Quarantined,
         Self::AnswerLost,
@@ -98,6 +101,7 @@
             | Self::Starting
             | Self::Leaving
             | Self::NoCapacity(_)
+            | Self::ServerLimit(_)
             | Self::NoServer(_)
             | Self::Quarantined => 503,
             Self::TimedOut => 504,
@@ -119,6 +123,7 @@
             Self::OverRate(_) => "over-rate",
             Self::NoMemory(_) => "no-memory",
             Self::NoCapacity(_) => "no-room",
+            Self::ServerLimit(_) => "server-limit",
             Self::NoServer(_) => "no-server",
             Self::Quarantined => "quarantined",
             Self::AnswerLost => "answer-lost",
@@ -131,6 +136,7 @@
             Self::OverRate(delay)
             | Self::NoMemory(delay)
             | Self::NoCapacity(delay)
+            | Self::ServerLimit(delay)
             | Self::NoServer(delay) => Some(delay),
             Self::Starting => Some(Duration::from_millis(300)),
             Self::Leaving => Some(Duration::from_millis(50)),
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use event::Event;
 use fleet::{Phase, Registration, Server, ServerId};
 use steer::load::Load;
 use steer::placement::{Distance, hash};
+use steer::server_limit::Limiter;
 use steer::warmup::{Warmth, Warmup};
 
 use crate::upstream::Idle;
@@ -45,8 +45,10 @@
     pub owner: Cell<(Option<u64>, bool)>,
     /// Its warmth as last logged.
     pub logged_warmth: Cell<Warmth>,
-    /// Requests a second that it takes from all entry VMs together, by its latest response.
-    pub limit: Cell<Option<f64>>,
+    /// The limit that it names on the requests from all entry VMs together.
+    pub limiter: RefCell<Limiter>,
+    /// Whether an invalid header of its responses was logged.
+    pub logged_invalid: Cell<bool>,
     /// Idle connections, the latest last.
     pub idle: RefCell<Vec<Idle>>,
     load: Cell<Load>,
@@ -112,6 +114,7 @@
 #[derive(Debug, Default)]
 pub struct Servers {
     by_id: HashMap<ServerId, Rc<Backend>>,
+    hashed: HashMap<u64, Rc<Backend>>,
     by_service: HashMap<String, Vec<Rc<Backend>>>,
 }
 
@@ -136,7 +139,8 @@
             heartbeat: Cell::new(Heartbeat::new(registration, now)),
             owner: Cell::default(),
             logged_warmth: Cell::new(Warmth::Warm),
-            limit: Cell::new(None),
+            limiter: RefCell::default(),
+            logged_invalid: Cell::new(false),
             idle: RefCell::default(),
             load: Cell::new(Load::new(now)),
             answered_at: Cell::new(None),
@@ -173,20 +177,6 @@
         self.change_load(|load| load.note_reported(running, waiting, now));
     }
 
-    /// Records the limit that its latest response names.
-    pub fn note_limit(&self, limit: Option<f64>) {
-        let earlier = self.limit.replace(limit);
-        if earlier == limit {
-            return;
-        }
-        event::emit(&Event::ServerLimitChanged {
-            server: self.id.to_string(),
-            service: self.service.clone(),
-            per_s: limit,
-            earlier_per_s: earlier,
-        });
-    }
-
     /// Records a heartbeat that was written after `after`, if that time is known.
     pub fn note_heartbeat(
         &self,
@@ -286,6 +276,12 @@
         self.by_id.get(id)
     }
 
+    /// Returns the server whose name has the hash `hash`.
+    #[must_use]
+    pub fn with_hash(&self, hash: u64) -> Option<&Rc<Backend>> {
+        self.hashed.get(&hash)
+    }
+
     /// Returns all servers.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Backend>> {
         self.by_id.values()
@@ -308,6 +304,7 @@
         let backend = Rc::new(backend);
         self.by_id
             .insert(Rc::clone(&backend.id), Rc::clone(&backend));
+        self.hashed.insert(backend.hash, Rc::clone(&backend));
         let servers = self.by_service.entry(backend.service.clone()).or_default();
         servers.push(backend);
     }
@@ -317,6 +314,7 @@
         let Some(backend) = self.by_id.remove(id) else {
             return;
         };
+        self.hashed.remove(&backend.hash);
         backend.ready.set(false);
         backend.idle.borrow_mut().clear();
         if let Some(servers) = self.by_service.get_mut(&backend.service) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -18,12 +18,12 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
+use crate::ask::Asks;
 use crate::memory::Pool;
 use crate::metrics::Metrics;
 use crate::names::Names;
 use crate::peers;
 use crate::quarantine::Quarantine;
-use crate::quota::Asks;
 use crate::replica::Replica;
 use crate::servers::Servers;
 use crate::settings::{Bounds, Settings};
@@ -42,8 +42,10 @@
     pub membership: RefCell<Membership>,
     /// Rate limiters of the workspaces that have a rate, by the hash of the workspace's name.
     pub limiters: RefCell<HashMap<u32, Limiter>>,
-    /// Questions to the owners of rate limits.
+    /// Questions to the owners of limits.
     pub(crate) asks: Asks,
+    /// When each workspace was last logged as having used up its rate.
+    pub(crate) logged_rates: RefCell<HashMap<u32, Instant>>,
     /// Socket for messages between entry VMs, once it is bound.
     pub(crate) peer_socket: OnceCell<UdpSocket>,
     /// Retry budgets by service.
@@ -142,6 +144,7 @@
             membership: RefCell::new(membership),
             limiters: RefCell::default(),
             asks: Asks::default(),
+            logged_rates: RefCell::default(),
             peer_socket: OnceCell::new(),
             fleet_report: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/entry/src/warmth.rs
+++ b/crates/entry/src/warmth.rs
@@ -39,7 +39,8 @@
 }
 
 /// Returns a VM or a server as a member of its zone and region.
-fn member(name: u64, zone: &str, region: &str) -> Member {
+#[must_use]
+pub fn member(name: u64, zone: &str, region: &str) -> Member {
     Member {
         name,
         zone: hash(zone.as_bytes()),
@@ -61,7 +62,7 @@
             return *is_own;
         }
         let own = peers::rank(&self.settings.vm);
-        let server = member(backend.hash, &backend.zone, &backend.region);
+        let server = backend.member();
         let views = self.views.borrow();
         let is_own = views.owns(own, server, now);
         self.owned.borrow_mut().insert(backend.hash, is_own);
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -85,6 +85,6 @@
     3020 info ColdSent { server: String, belief: String, sent: u64, most: f64, is_own: bool, sequence: u64, heartbeat_ms: u64 } "Requests that this VM sent in the last second to a backend server that it assumes to be cold.";
     3021 warn ConfigIncomplete { revision: u64, problem: String } "A part of a configuration that came into force could not be interpreted in full; `problem` says how it is treated.";
     3022 info RateUsedUp { workspace: String, per_s: f64, burst: f64, tokens: f64, admitted: f64, granted: f64, alive: u64, known: u64, settled: bool } "The owner of a workspace's rate limit rejects requests: `tokens` are left in the fleet's bucket, from which the other VMs took `admitted` a second unasked and `granted` a second as owners. Logged once a second for each workspace.";
-    3023 info ServerLimitChanged { server: String, service: String, per_s: Option<f64>, earlier_per_s: Option<f64> } "A response of a backend server names another limit on the requests a second that the server takes from all entry VMs together (`per_s`; absent: none) than the one before.";
-    3024 warn HeaderInvalid { request: String, server: String, header: String } "A header of a backend server's response cannot be read and is ignored.";
+    3023 info ServerLimitChanged { server: String, service: String, per_s: Option<f64>, earlier_per_s: Option<f64>, by: String } "A backend server names another limit than before on the requests a second that it takes from all entry VMs together (`per_s`; absent: none); `by` tells whether a response said so or another VM.";
+    3024 warn HeaderInvalid { request: String, server: String, header: String } "A header of a backend server's response cannot be read and is ignored; logged once for each server.";
 }
--- a/crates/fleet/src/ask.rs
+++ b/crates/fleet/src/ask.rs
@@ -1,14 +1,25 @@
-//! Requests for tokens of a workspace's rate limit, between entry VMs.
+//! Requests for tokens of a limit, between entry VMs.
 
 use serde::{Deserialize, Serialize};
 
-/// A VM asks the owner of a workspace's rate limit for tokens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+use crate::report::ServerLimit;
+
+/// What a limit applies to.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum Subject {
+    /// The workspace whose name has this hash; its limit is in the configuration.
+    Workspace(u32),
+    /// A backend server, with the limit that the asking VM knows.
+    Server(ServerLimit),
+}
+
+/// A VM asks the owner of a limit for tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
     /// Number that the answer repeats.
     pub id: u32,
-    /// Hash of the workspace's name.
-    pub workspace: u32,
+    /// What the limit applies to.
+    pub subject: Subject,
     /// Number of tokens.
     pub wanted: u32,
     /// Whether the VM that ranks higher did not answer.
@@ -24,7 +35,7 @@
     pub outcome: Outcome,
 }
 
-/// What the owner of a rate limit decided.
+/// What the owner of a limit decided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// It granted this number of tokens.
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -51,6 +51,8 @@
     pub loads: Vec<Load>,
     /// Backend servers that crashed while running a request.
     pub crashes: Vec<Crash>,
+    /// Limits that backend servers named lately.
+    pub limits: Vec<ServerLimit>,
 }
 
 /// A backend server that crashed while running a request.
@@ -64,6 +66,17 @@
     pub age_ms: u64,
 }
 
+/// The limit that a backend server named in a response.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ServerLimit {
+    /// Hash of the server's name.
+    pub server: u64,
+    /// Requests a second that it takes from all entry VMs together; absent if it named no limit.
+    pub per_s: Option<f64>,
+    /// Time since the response, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// An entry VM that is alive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -232,6 +245,19 @@
                 self.crashes.push(crash.clone());
             }
         }
+        for limit in &other.limits {
+            self.merge_limit(limit);
+        }
+    }
+
+    /// Merges the limit of a backend server: the latest.
+    fn merge_limit(&mut self, limit: &ServerLimit) {
+        let mut known = self.limits.iter_mut();
+        match known.find(|known| known.server == limit.server) {
+            Some(known) if known.age_ms <= limit.age_ms => {}
+            Some(known) => *known = *limit,
+            None => self.limits.push(*limit),
+        }
     }
 
     /// Merges the load of a service in a zone: the higher utilization, the mean spill ratios.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod placement;
 pub mod quota;
 pub mod retry;
+pub mod server_limit;
 pub mod spill;
 pub mod split;
 pub mod warmup;
--- a/crates/steer/src/owner.rs
+++ b/crates/steer/src/owner.rs
@@ -1,4 +1,4 @@
-//! Ownership of cold backend servers, and of workspaces' rate limits.
+//! Ownership of cold backend servers, and of limits: workspaces' rates and those that servers name.
 //!
 //! Load pattern: the servers of a zone restart together and are cold, while entry VMs start, stop or
 //! fail. The limit of a cold server applies to all entry VMs together in any second, but a VM cannot
@@ -26,7 +26,7 @@
 const STALE_AFTER: Duration = Duration::from_secs(1);
 
 /// An entry VM or a backend server, identified by hashes of names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Member {
     /// Hash of the name.
     pub name: u64,
--- a/crates/steer/tests/common/mod.rs
+++ b/crates/steer/tests/common/mod.rs
@@ -1,11 +1,13 @@
 //! The limit on admitted requests, and what counts towards it.
 
+#![allow(dead_code)]
+
 use std::time::{Duration, Instant};
 
 use steer::quota::Rate;
 
 /// Window over which the limit holds.
-const WINDOW: Duration = Duration::from_secs(5);
+pub const WINDOW: Duration = Duration::from_secs(5);
 
 /// Returns a rate limit with a burst of one second.
 pub fn rate(per_s: f64) -> Rate {
@@ -20,12 +22,12 @@
     rate.per_s.mul_add(WINDOW.as_secs_f64(), rate.burst) * 1.1 + 20.0
 }
 
-/// Returns the maximum number of the admitted requests, given in order of time, in any window.
-pub fn max_in_window(admitted: &[Instant]) -> f64 {
+/// Returns the maximum number of requests, given in order of time, in any `window`.
+pub fn max_in_window(requests: &[Instant], window: Duration) -> f64 {
     let mut first = 0;
     let mut max = 0;
-    for (last, at) in admitted.iter().enumerate() {
-        while at.duration_since(admitted[first]) >= WINDOW {
+    for (last, at) in requests.iter().enumerate() {
+        while at.duration_since(requests[first]) >= window {
             first += 1;
         }
         max = max.max(last + 1 - first);
--- a/crates/steer/tests/limit_owner.rs
+++ b/crates/steer/tests/limit_owner.rs
@@ -11,7 +11,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{max_admitted, max_in_window, rate};
+use common::{WINDOW, max_admitted, max_in_window, rate};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rand::rngs::StdRng;
@@ -260,7 +260,10 @@
     for _ in 0..25 {
         fleet.run_tick(per_s * surge, trouble);
     }
-    let (admitted, max) = (max_in_window(&fleet.admitted), max_admitted(fleet.rate));
+    let (admitted, max) = (
+        max_in_window(&fleet.admitted, WINDOW),
+        max_admitted(fleet.rate),
+    );
     prop_assert!(admitted <= max, "{admitted} of {max}");
     Ok(())
 }
@@ -369,5 +372,5 @@
     for _ in 0..40 {
         fleet.run_tick(2_700.0, Trouble::TwoOwners);
     }
-    assert!(max_in_window(&fleet.admitted) > max_admitted(fleet.rate));
+    assert!(max_in_window(&fleet.admitted, WINDOW) > max_admitted(fleet.rate));
 }
--- a/crates/steer/tests/quota.rs
+++ b/crates/steer/tests/quota.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{max_admitted, max_in_window, rate};
+use common::{WINDOW, max_admitted, max_in_window, rate};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use steer::quota::{Grant, Limiter, Ownership, Peers, Rate};
@@ -178,9 +178,9 @@
         fleet.tick(&[190.0; 8], 8);
     }
     assert!(
-        max_in_window(&fleet.admitted) <= max_admitted(rate_limit),
+        max_in_window(&fleet.admitted, WINDOW) <= max_admitted(rate_limit),
         "{} of {}",
-        max_in_window(&fleet.admitted),
+        max_in_window(&fleet.admitted, WINDOW),
         max_admitted(rate_limit)
     );
     let admitted = fleet.admitted.len() as f64;
@@ -205,7 +205,7 @@
             }
             fleet.restart(Duration::from_millis(500));
         }
-        let max = max_in_window(&fleet.admitted);
+        let max = max_in_window(&fleet.admitted, WINDOW);
         assert!(
             max <= max_admitted(rate_limit),
             "{max} of {}: burst {burst}, up for {up_ticks} ticks",
@@ -264,9 +264,9 @@
         fleet.tick(&[30.0; 8], 8);
     }
     assert!(
-        max_in_window(&fleet.admitted) <= max_admitted(fleet.rate),
+        max_in_window(&fleet.admitted, WINDOW) <= max_admitted(fleet.rate),
         "{} admitted in a window",
-        max_in_window(&fleet.admitted)
+        max_in_window(&fleet.admitted, WINDOW)
     );
 }
 
@@ -296,6 +296,6 @@
                 fleet.tick(&demand, connected);
             }
         }
-        prop_assert!(max_in_window(&fleet.admitted) <= max_admitted(rate), "{} of {}", max_in_window(&fleet.admitted), max_admitted(rate));
+        prop_assert!(max_in_window(&fleet.admitted, WINDOW) <= max_admitted(rate), "{} of {}", max_in_window(&fleet.admitted, WINDOW), max_admitted(rate));
     }
 }
