Pass requests on through another VM where an entry VM reaches no backend server

Cause: a VM's own connections were its only way to a server. Class: a VM that is sound for its callers and its neighbours, and useless, with nobody to take its work. Leaving the lookups would not do: callers hold connections and cached answers, and all VMs of a zone may be partitioned at once.

Evidence: all 48 servers logged as lost within 1.2 s, refusals within a millisecond, 'sent' 0.

Change: a request that no server was sent, at a VM that failed to reach the servers which may run it, is passed on over a new connection to another VM, nearest first, at most three of them. Key and rate are checked by the first VM only; the second chooses the server, passes nothing on again, and tells by a header when it cannot help either; it then rests for a second. Deadline, cancellation, attempts left and home regions hold across. What a server may have run is never passed on. Servers that are unreachable in several zones with no response in between make the VM probe all others at once, so that requests need not find out. Events RelayBegan and RelayEnded, metric teaseldoor_relayed_requests_total.

Conclusion: the VM stays in the lookups' answers and serves its callers one hop later.

--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -23,6 +23,9 @@
 /// servers.
 const CALLERS_PERCENT: usize = 60;
 
+/// Share of the sockets that other entry VMs may use for requests that they pass on, in percent.
+const RELAYS_PERCENT: usize = 15;
+
 /// Listens on `addr`.
 ///
 /// # Errors
@@ -37,7 +40,11 @@
 
 /// Accepts connections until the daemon ends. Connections over the limit are closed at once.
 pub async fn run(state: Rc<State>, listener: TcpListener, role: Role) {
-    let max_open = state.settings.max_sockets * CALLERS_PERCENT / 100;
+    let percent = match role {
+        Role::Relayed => RELAYS_PERCENT,
+        _ => CALLERS_PERCENT,
+    };
+    let max_open = state.settings.max_sockets * percent / 100;
     let open = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep_until, timeout};
 
 use crate::body::{BodyError, Collector};
+use crate::dispatch::Origin;
 use crate::head::{Framing, HeadError, Request};
 use crate::memory::{Pool, Reservation};
 use crate::response::{Refusal, Reply};
@@ -29,6 +30,9 @@
 /// Maximum number of bytes buffered while requests are processed.
 const MAX_READ_AHEAD: usize = 256 << 10;
 
+/// Bytes that the VM which relays a request may add to its head.
+const RELAY_HEAD_BYTES: usize = 1 << 10;
+
 /// Bytes reserved for each read.
 const READ_BYTES: usize = 4 << 10;
 
@@ -47,6 +51,8 @@
 pub enum Role {
     /// Callers' requests.
     Requests,
+    /// Callers' requests that another entry VM passes on.
+    Relayed,
     /// Lookups of entry VMs.
     Lookups,
     /// Readiness checks.
@@ -76,7 +82,11 @@
         state.metrics.note_socket_error();
     }
     let (mut reader, mut writer) = stream.split();
-    let mut inbound = Inbound::new(state.limits(), state.body_memory.clone());
+    let mut limits = state.limits();
+    if role == Role::Relayed {
+        limits.max_head_bytes += RELAY_HEAD_BYTES;
+    }
+    let mut inbound = Inbound::new(limits, state.body_memory.clone());
     let mut replies: FuturesOrdered<LocalBoxFuture<'static, Reply>> = FuturesOrdered::new();
     let mut is_last = false;
     loop {
@@ -90,7 +100,7 @@
                 Next::Refused(refusal) => {
                     is_last = true;
                     inbound.log_refused(&state, &refusal);
-                    replies.push_back(Box::pin(std::future::ready(Reply::refused(refusal))));
+                    replies.push_back(Box::pin(std::future::ready(refused(role, refusal))));
                 }
             }
         }
@@ -140,7 +150,8 @@
 
 async fn answer(state: Rc<State>, role: Role, incoming: Incoming) -> Reply {
     match role {
-        Role::Requests => serve::answer(&state, incoming).await,
+        Role::Requests => serve::answer(&state, incoming, Origin::Caller).await,
+        Role::Relayed => serve::answer(&state, incoming, Origin::Vm).await,
         Role::Lookups => lookup::answer(&state, &incoming.head),
         Role::Ready => lookup::readiness(&state, &incoming.head),
         Role::State => snapshot::answer(&state, &incoming.head),
@@ -148,6 +159,13 @@
     }
 }
 
+fn refused(role: Role, refusal: Refusal) -> Reply {
+    match role {
+        Role::Relayed => Reply::refused_relay(refusal),
+        _ => Reply::refused(refusal),
+    }
+}
+
 /// Writes a response; returns false if the caller did not read it in time or has disconnected.
 async fn write(writer: &mut WriteHalf<'_>, head: Bytes, body: Bytes) -> bool {
     let mut bytes = head.chain(body);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -64,6 +64,8 @@
     });
     let state = Rc::new(State::new(settings, names));
     start(&state, listen.callers, Role::Requests)?;
+    let relayed = peers::announcement(&state.settings).peer;
+    start(&state, Some(relayed), Role::Relayed)?;
     start(&state, listen.ready, Role::Ready)?;
     start(&state, listen.lookups, Role::Lookups)?;
     start(&state, listen.state, Role::State)?;
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::caller::Incoming;
 use crate::quarantine;
 use crate::reach;
+use crate::relay;
 use crate::request_log::attempt_of;
 use crate::response::{Refusal, forwarded_head};
 use crate::said::{self, Said};
@@ -56,6 +57,15 @@
     Fingerprint::new(workspace, &method, &target, &incoming.body)
 }
 
+/// Who sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another entry VM, which has checked the key and the rate.
+    Vm,
+}
+
 /// A request and the decisions made for it.
 #[derive(Debug)]
 pub struct Dispatch<'a> {
@@ -69,6 +79,8 @@
     pub workspace: Option<&'a Workspace>,
     /// Name of the service that answers.
     pub service: &'a str,
+    /// Who sent the request.
+    pub origin: Origin,
     /// The request.
     pub incoming: &'a Incoming,
     /// Hash of the object that it is about.
@@ -111,11 +123,44 @@
             match self.step().await {
                 Ok(Step::Done(response)) => return Ok(response),
                 Ok(Step::Retry) => {}
-                Err(refusal) => return self.attempts.error_response.take().ok_or(refusal),
+                Err(refusal) => return self.fail(refusal).await,
             }
         }
     }
 
+    /// Returns what the caller gets if this VM has no way to a server that may run the request.
+    async fn fail(&mut self, refusal: Refusal) -> Result<Response, Refusal> {
+        if let Some(response) = self.attempts.error_response.take() {
+            return Ok(response);
+        }
+        if matches!(refusal, Refusal::NoServer(_)) && self.should_relay() {
+            return self.relay().await.unwrap_or(Err(refusal));
+        }
+        Err(refusal)
+    }
+
+    /// Returns whether another VM may reach a server for the request: this one reaches none of those
+    /// that may run it, or failed to reach the ones that it chose.
+    fn should_relay(&self) -> bool {
+        if self.origin == Origin::Vm {
+            return false;
+        }
+        let servers = self.state.servers.borrow();
+        let mut permitted = servers.of(self.service).iter();
+        let has_failed = self.attempts.counts.unreachable() > 0;
+        permitted.any(|backend| self.is_permitted(backend) && backend.is_unreachable())
+            || has_failed
+    }
+
+    /// Returns the number of servers that the request may be sent to.
+    pub fn max_sent(&self) -> u32 {
+        let relayed = relay::max_attempts(&self.incoming.head);
+        let relayed = relayed.filter(|_| self.origin == Origin::Vm);
+        relayed.map_or(self.route.max_attempts, |left| {
+            left.min(self.route.max_attempts)
+        })
+    }
+
     async fn step(&mut self) -> Result<Step, Refusal> {
         let backend = self.choose()?;
         if !self.state.admit_to_server(&backend).await {
@@ -178,23 +223,29 @@
     }
 
     fn is_eligible(&self, backend: &Rc<Backend>, now: Instant) -> bool {
-        let workspace_home_regions = self
-            .workspace
-            .map_or(&[][..], |workspace| &workspace.home_regions);
         backend.is_usable()
             && !self
                 .attempts
                 .servers
                 .iter()
                 .any(|tried| Rc::ptr_eq(tried, backend))
+            && self.is_permitted(backend)
+            && self.is_warm_enough(backend, now)
+            && self.may_have_token(backend, now)
+    }
+
+    /// Returns whether operators permit that the request runs on `backend` now.
+    fn is_permitted(&self, backend: &Backend) -> bool {
+        let workspace_home_regions = self
+            .workspace
+            .map_or(&[][..], |workspace| &workspace.home_regions);
+        backend.ready.get()
             && !self.state.is_evacuated(&backend.zone)
             && may_run_in(
                 &backend.region,
                 &self.route.home_regions,
                 workspace_home_regions,
             )
-            && self.is_warm_enough(backend, now)
-            && self.may_have_token(backend, now)
     }
 
     /// Returns whether the limit of `backend`, if it names one, may have a token left.
@@ -282,7 +333,7 @@
                 names,
                 length,
                 remaining.as_millis(),
-                &backend.id,
+                &[(names.target, &*backend.id)],
                 workspace,
             ),
             body: self.incoming.body.clone(),
@@ -293,6 +344,7 @@
 
     fn note_response(&self, backend: &Backend, response: &Response) {
         backend.note_response(Instant::now());
+        self.state.partition.borrow_mut().note_reached();
         if !self.state.quarantine.is_empty() {
             let fingerprint = fingerprint(self.incoming, self.workspace);
             self.state
@@ -351,7 +403,7 @@
         };
         let policy = Policy {
             is_idempotent: is_retriable,
-            max_sent: self.route.max_attempts,
+            max_sent: self.max_sent(),
         };
         let has_time_for_retry = self.has_time_for_retry();
         let next = self
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -70,6 +70,11 @@
         Some(&field.1)
     }
 
+    /// Keeps the headers whose name matches `filter`.
+    pub fn retain(&mut self, filter: impl Fn(&[u8]) -> bool) {
+        self.0.retain(|(name, _)| filter(name));
+    }
+
     /// Returns the first value of the header `name`, if it is UTF-8.
     #[must_use]
     pub fn text(&self, name: &str) -> Option<&str> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod quota;
 mod reach;
 mod register;
+mod relay;
 mod replica;
 mod request_log;
 mod response;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -37,6 +37,7 @@
     STORE_CALLS,
     MESSAGES,
     ADMISSIONS,
+    RELAYS,
     STORE_AGE,
     VERSION,
     SERVERS,
@@ -124,6 +125,12 @@
     &["outcome"],
     "Requests of workspaces with a rate limit, by how they were admitted or rejected.",
 );
+const RELAYS: Entry = entry(
+    "teaseldoor_relayed_requests_total",
+    "counter",
+    &["outcome"],
+    "Requests passed on through another entry VM, since this one reaches no backend server for them.",
+);
 const STORE_AGE: Entry = entry(
     "teaseldoor_state_age_seconds",
     "gauge",
@@ -195,6 +202,7 @@
     store_calls: IntCounterVec,
     messages: IntCounterVec,
     admissions: IntCounterVec,
+    relays: IntCounterVec,
     rejected_connections: IntCounter,
     bad_messages: IntCounter,
     bad_headers: IntCounter,
@@ -248,6 +256,7 @@
         let store_calls = counters(&STORE_CALLS);
         let messages = counters(&MESSAGES);
         let admissions = counters(&ADMISSIONS);
+        let relays = counters(&RELAYS);
         let rejected_connections = counter(&REJECTED_CONNECTIONS);
         let bad_messages = counter(&BAD_MESSAGES);
         let bad_headers = counter(&BAD_HEADERS);
@@ -271,6 +280,7 @@
         register(Box::new(store_calls.clone()));
         register(Box::new(messages.clone()));
         register(Box::new(admissions.clone()));
+        register(Box::new(relays.clone()));
         register(Box::new(rejected_connections.clone()));
         register(Box::new(bad_messages.clone()));
         register(Box::new(bad_headers.clone()));
@@ -294,6 +304,7 @@
             store_calls,
             messages,
             admissions,
+            relays,
             rejected_connections,
             bad_messages,
             bad_headers,
@@ -363,6 +374,11 @@
         self.admissions.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request that was passed on through another entry VM.
+    pub fn note_relay(&self, outcome: &str) {
+        self.relays.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a connection that was rejected because too many were open.
     pub fn note_rejected_connection(&self) {
         self.rejected_connections.inc();
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use event::Event;
+use steer::placement::hash;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -26,6 +27,12 @@
 /// Maximum delay between two probes.
 const MAX_DELAY: Duration = Duration::from_millis(1_600);
 
+/// Minimum interval between two probes of all servers.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Maximum number of servers probed at once.
+const MAX_SWEPT: usize = 100;
+
 /// Time for which a partition of this VM explains that servers were unreachable. It has to cover
 /// the time until the last of them is probed.
 const PARTITION_MEMORY: Duration = Duration::from_secs(3);
@@ -33,7 +40,9 @@
 /// Returns whether `backend` accepts a connection; marks it as unreachable if not.
 pub async fn accepts(state: &Rc<State>, backend: &Rc<Backend>) -> bool {
     let accepts = connects(backend).await;
-    if !accepts {
+    if accepts {
+        state.partition.borrow_mut().note_reached();
+    } else {
         mark_unreachable(state, backend);
     }
     accepts
@@ -64,6 +73,31 @@
         zone: backend.zone.clone(),
     });
     spawn_local(probe_until_reachable(Rc::clone(state), Rc::clone(backend)));
+    let zone = hash(backend.zone.as_bytes());
+    state
+        .partition
+        .borrow_mut()
+        .note_unreachable(backend.hash, zone);
+    sweep_if_partitioned(state);
+}
+
+/// Probes the servers that were not found unreachable yet, if this VM seems to be partitioned from all, so
+/// that no request has to find that out.
+fn sweep_if_partitioned(state: &Rc<State>) {
+    let now = Instant::now();
+    let zones = state.settings.zones.len();
+    let is_recent = |at: Instant| now.duration_since(at) < SWEEP_INTERVAL;
+    if !state.partition.borrow().is_partitioned(zones)
+        || state.swept_at.get().is_some_and(is_recent)
+    {
+        return;
+    }
+    state.swept_at.set(Some(now));
+    let servers = state.servers.borrow();
+    let unknown = servers.iter().filter(|backend| backend.is_usable());
+    for backend in unknown.take(MAX_SWEPT) {
+        probe(state, backend);
+    }
 }
 
 async fn probe_until_reachable(state: Rc<State>, backend: Rc<Backend>) {
@@ -76,6 +110,8 @@
         }
         let was_partitioned = was_partitioned(&state);
         if connects(&backend).await {
+            state.partition.borrow_mut().note_reached();
+            state.end_relays();
             mark_reachable(&backend, was_partitioned, since);
             return;
         }
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -7,7 +7,6 @@
 use fleet::report::Announced;
 use fleet::roster::Change;
 use fleet::{Config, Item, Registration};
-use steer::placement::Distance;
 
 use crate::servers::Backend;
 use crate::state::State;
@@ -111,7 +110,7 @@
             _ => {
                 let zone = &server.registration.zone;
                 let region = self.region_of(zone).to_owned();
-                let backend = Backend::new(server, &region, self.distance(zone), now);
+                let backend = Backend::new(server, &region, self.distance_to(zone), now);
                 event::emit(&Event::ServerJoined {
                     server: id.to_owned(),
                     service: server.registration.service.clone(),
@@ -125,16 +124,6 @@
         matches!(change, Change::Unchanged | Change::Heartbeat) && is_cold == was_cold
     }
 
-    fn distance(&self, zone: &str) -> Distance {
-        if zone == self.settings.zone {
-            Distance::Zone
-        } else if self.region_of(zone) == self.settings.region {
-            Distance::Region
-        } else {
-            Distance::Far
-        }
-    }
-
     fn unregister(&self, id: &str) {
         let removed = self.roster.borrow_mut().remove(id, Instant::now());
         if removed.is_some() {
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -8,7 +8,7 @@
 use crate::head::{self, Fields, has_token};
 use crate::memory::Reservation;
 use crate::names::Names;
-use crate::upstream;
+use crate::{relay, upstream};
 
 /// Time after which a request that crashed servers may be retried: the time for which crashes are
 /// reported.
@@ -197,6 +197,18 @@
         reply
     }
 
+    /// Creates the response to another entry VM whose relayed request is refused.
+    #[must_use]
+    pub fn refused_relay(refusal: Refusal) -> Self {
+        let mut reply = Self::refused(refusal);
+        push_field(
+            &mut reply.head,
+            relay::REFUSED.as_bytes(),
+            refusal.name().as_bytes(),
+        );
+        reply
+    }
+
     /// Creates the response that forwards a backend server's.
     #[must_use]
     pub fn from_backend(response: upstream::Response, is_head_request: bool) -> Self {
@@ -242,14 +254,14 @@
     }
 }
 
-/// Returns the head of `request` as it is sent to the backend server `target`.
+/// Returns the head of `request` as it is sent on, with the headers `added`.
 #[must_use]
 pub fn forwarded_head(
     request: &head::Request,
     names: &Names,
     body_length: usize,
     remaining_ms: u128,
-    target: &str,
+    added: &[(&str, &str)],
     workspace: Option<&str>,
 ) -> Bytes {
     let mut head = BytesMut::with_capacity(512);
@@ -257,7 +269,13 @@
     head.extend_from_slice(b" ");
     head.extend_from_slice(&request.target);
     head.extend_from_slice(b" HTTP/1.1\r\n");
-    let replaced = [names.key, names.workspace, names.target, names.deadline];
+    let replaced = [
+        names.key,
+        names.workspace,
+        names.target,
+        names.deadline,
+        relay::ATTEMPTS,
+    ];
     for (name, value) in end_to_end(&request.fields) {
         let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
         if !replaced.iter().any(is) && !is(&"content-length") && !is(&"expect") {
@@ -268,7 +286,9 @@
         &mut head,
         format_args!("{}: {remaining_ms}\r\n", names.deadline),
     );
-    push_text(&mut head, format_args!("{}: {target}\r\n", names.target));
+    for (name, value) in added {
+        push_text(&mut head, format_args!("{name}: {value}\r\n"));
+    }
     if let Some(workspace) = workspace {
         push_text(
             &mut head,
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -7,7 +7,7 @@
 use steer::placement::hash;
 
 use crate::caller::Incoming;
-use crate::dispatch::{Attempts, Dispatch, fingerprint};
+use crate::dispatch::{Attempts, Dispatch, Origin, fingerprint};
 use crate::head::Request;
 use crate::quota;
 use crate::request_log::RequestLog;
@@ -16,16 +16,17 @@
 use crate::upstream::Response;
 
 /// Answers a request.
-pub async fn answer(state: &Rc<State>, incoming: Incoming) -> Reply {
+pub async fn answer(state: &Rc<State>, incoming: Incoming, origin: Origin) -> Reply {
     let _in_flight = state.begin_request();
     let mut log = RequestLog::new(state, &incoming);
-    let outcome = run(state, &incoming, &mut log).await;
+    let outcome = run(state, &incoming, origin, &mut log).await;
     log.end(outcome.as_ref().map(|response| response.head.status));
     match outcome {
         Ok(response) => {
             let is_head = &incoming.head.method[..] == b"HEAD";
             Reply::from_backend(response, is_head)
         }
+        Err(refusal) if origin == Origin::Vm => Reply::refused_relay(refusal),
         Err(refusal) => Reply::refused(refusal),
     }
 }
@@ -33,15 +34,21 @@
 async fn run(
     state: &Rc<State>,
     incoming: &Incoming,
+    origin: Origin,
     log: &mut RequestLog<'_>,
 ) -> Result<Response, Refusal> {
     let config = state.config().ok_or(Refusal::Starting)?;
     let routing = Rc::clone(&config);
     let route = route(&routing, &incoming.head)?;
-    let workspace = workspace(state, &routing, route, &incoming.head)?;
+    let workspace = match origin {
+        Origin::Caller => workspace(state, &routing, route, &incoming.head)?,
+        Origin::Vm => relayed_workspace(state, &routing, route, &incoming.head)?,
+    };
     log.route = Some(route.name.clone());
     if let Some(workspace) = workspace {
         workspace.name.clone_into(&mut log.workspace);
+    }
+    if let Some(workspace) = workspace.filter(|_| origin == Origin::Caller) {
         quota::admit(state, workspace).await?;
     }
     let deadline = incoming.since + time_limit(state, route, &incoming.head);
@@ -61,6 +68,7 @@
         route,
         workspace,
         service,
+        origin,
         incoming,
         object,
         deadline,
@@ -105,6 +113,25 @@
     Ok(Some(workspace))
 }
 
+/// Returns the workspace that another VM names, if the route requires one. The VM that checked the key may
+/// have another configuration.
+fn relayed_workspace<'a>(
+    state: &State,
+    config: &'a Config,
+    route: &Route,
+    head: &Request,
+) -> Result<Option<&'a Workspace>, Refusal> {
+    if route.public || !config.has_workspaces {
+        return Ok(None);
+    }
+    let name = head.fields.text(state.names.workspace);
+    let mut workspaces = config.keys.values();
+    let named = workspaces.find(|workspace| Some(workspace.name.as_str()) == name);
+    named
+        .map(|workspace| Some(&**workspace))
+        .ok_or(Refusal::Starting)
+}
+
 /// Returns the hash of the object that the request is about: the object that a header names, else
 /// the request's target.
 fn object(state: &State, incoming: &Incoming) -> u64 {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,6 +12,8 @@
 use steer::budget::Budget;
 use steer::idle::Limit;
 use steer::owner::Views;
+use steer::partition::Detector;
+use steer::placement::Distance;
 use steer::quota::Limiter;
 use steer::spill::Spill;
 use steer::split::Split;
@@ -24,6 +26,7 @@
 use crate::names::Names;
 use crate::peers;
 use crate::quarantine::Quarantine;
+use crate::relay::Resting;
 use crate::replica::Replica;
 use crate::servers::Servers;
 use crate::settings::{Bounds, Settings};
@@ -73,6 +76,14 @@
     pub quarantine: Quarantine,
     /// Memory for request bodies.
     pub body_memory: Pool,
+    /// Servers that were found unreachable since the latest response.
+    pub(crate) partition: RefCell<Detector>,
+    /// When all servers were last probed because this VM seemed to be partitioned.
+    pub(crate) swept_at: Cell<Option<Instant>>,
+    /// VMs through which requests cannot be passed on for now.
+    pub(crate) resting_relays: Resting,
+    /// Whether requests are being passed on through other VMs, as last logged.
+    pub(crate) relays_logged: Cell<bool>,
     /// Metrics.
     pub metrics: Metrics,
     /// Reports about the fleet, including this VM's.
@@ -159,6 +170,10 @@
             serving: RefCell::default(),
             quarantine: Quarantine::default(),
             body_memory,
+            partition: RefCell::default(),
+            swept_at: Cell::new(None),
+            resting_relays: Resting::default(),
+            relays_logged: Cell::new(false),
             metrics: Metrics::default(),
             config: RefCell::default(),
             roster: RefCell::default(),
@@ -310,6 +325,18 @@
         self.settings.zones.get(zone).map_or("", String::as_str)
     }
 
+    /// Returns the distance from this VM to `zone`.
+    #[must_use]
+    pub fn distance_to(&self, zone: &str) -> Distance {
+        if zone == self.settings.zone {
+            Distance::Zone
+        } else if self.region_of(zone) == self.settings.region {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
+    }
+
     /// Returns whether no requests may be sent to `zone`.
     #[must_use]
     pub fn is_evacuated(&self, zone: &str) -> bool {
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -111,7 +112,7 @@
     let idle_for = idle.as_ref().map(|idle| idle.since.elapsed());
     let connected = match idle {
         Some(idle) => Ok(idle.stream),
-        None => connect(server, deadline).await,
+        None => connect(server.addr, deadline).await,
     };
     let stream = match connected {
         Ok(stream) => stream,
@@ -146,9 +147,30 @@
     }
 }
 
-async fn connect(server: &Backend, deadline: Instant) -> io::Result<TcpStream> {
+/// Sends `request` to the entry VM at `addr` on a new connection, and waits for the response until
+/// `deadline`.
+pub async fn send_once(
+    addr: SocketAddr,
+    request: &Outgoing,
+    names: &Names,
+    memory: Reservation,
+    deadline: Instant,
+) -> Outcome {
+    let stream = match connect(addr, deadline).await {
+        Ok(stream) => stream,
+        Err(error) => return Outcome::Unreachable(error.to_string()),
+    };
+    let exchange = exchange(stream, request, names, memory);
+    match timeout_at(deadline.into(), exchange).await {
+        Err(_) => Outcome::TimedOut,
+        Ok(Err(failure)) => Outcome::ConnectionLost(failure.problem),
+        Ok(Ok(exchanged)) => Outcome::Answered(exchanged.response),
+    }
+}
+
+async fn connect(addr: SocketAddr, deadline: Instant) -> io::Result<TcpStream> {
     let remaining = deadline.saturating_duration_since(Instant::now());
-    let connecting = TcpStream::connect(server.addr);
+    let connecting = TcpStream::connect(addr);
     let stream = timeout(CONNECT_TIMEOUT.min(remaining), connecting).await??;
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(&stream);
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -87,4 +87,6 @@
     3022 info RateUsedUp { workspace: String, per_s: f64, burst: f64, tokens: f64, admitted: f64, granted: f64, alive: u64, known: u64, settled: bool } "The owner of a workspace's rate limit rejects requests: `tokens` are left in the fleet's bucket, from which the other VMs took `admitted` a second unasked and `granted` a second as owners. Logged once a second for each workspace.";
     3023 info ServerLimitChanged { server: String, service: String, per_s: Option<f64>, earlier_per_s: Option<f64>, by: String } "A backend server names another limit than before on the requests a second that it takes from all entry VMs together (`per_s`; absent: none); `by` tells whether a response said so or another VM.";
     3024 warn HeaderInvalid { request: String, server: String, header: String } "A header of a backend server's response cannot be read and is ignored; logged once for each server.";
+    3025 warn RelayBegan { request: String, service: String, vm: SocketAddr } "This VM reaches no backend server for a request and passed it on through another VM; logged once until a backend server is reached again.";
+    3026 info RelayEnded {} "A backend server can be reached from this VM again.";
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod mean;
 pub mod owner;
+pub mod partition;
 pub mod placement;
 pub mod quota;
 pub mod retry;
--- a/crates/steer/src/retry.rs
+++ b/crates/steer/src/retry.rs
@@ -75,6 +75,12 @@
         self.sent
     }
 
+    /// Returns the number of servers that could not be reached.
+    #[must_use]
+    pub fn unreachable(&self) -> u32 {
+        self.unreachable
+    }
+
     /// Records the end of an attempt and decides what follows. `is_worth_retry` is whether another
     /// server could still respond in time.
     pub fn decide(&mut self, policy: Policy, ending: Ending, is_worth_retry: bool) -> Decision {
