Send nothing new to a server whose response says that it leaves

A server that said in its responses that it leaves got requests for as long as its registration said otherwise.

Cause: only registrations were read for it. Class: what a server says of itself that nobody reads.

Change: the response ends new work for the incarnation at this VM from the next decision on, whatever its registration says; retries, requests that waited for a token and kept connections obey too. Incarnations that leave are remembered by name and start, so that one whose registration lapsed and returns stays out.

Conclusion: in touch with the store or not, the VM that passed the response on keeps away. Other VMs are not told; they hear by their own responses.

--- a/crates/entry/src/balance.rs
+++ b/crates/entry/src/balance.rs
@@ -161,7 +161,7 @@
     fn note_utilization(&self, service: &str, servers: &[Rc<Backend>], now: Instant) {
         let own = servers
             .iter()
-            .filter(|backend| backend.distance == Distance::Zone && backend.ready.get());
+            .filter(|backend| backend.distance == Distance::Zone && backend.takes_work());
         let (load, slots) = own.fold((0.0, 0.0), |(load, slots), backend| {
             (
                 load + backend.load(|| self.vms_in(&backend.zone), now),
@@ -190,7 +190,7 @@
             let mut slots = 0.0;
             for backend in servers
                 .iter()
-                .filter(|backend| backend.distance == wanted && backend.ready.get())
+                .filter(|backend| backend.distance == wanted && backend.takes_work())
             {
                 let reported = fleet_report.load(id, peers::short_hash(&backend.zone));
                 let utilization = reported.map_or(0.0, |load| f64::from(load.utilization));
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -163,7 +163,7 @@
 
     async fn step(&mut self) -> Result<Step, Refusal> {
         let backend = self.choose()?;
-        if !self.state.admit_to_server(&backend).await {
+        if !self.state.admit_to_server(&backend).await || !backend.is_usable() {
             self.attempts.without_token += 1;
             return Ok(Step::Retry);
         }
@@ -239,7 +239,7 @@
         let workspace_home_regions = self
             .workspace
             .map_or(&[][..], |workspace| &workspace.home_regions);
-        backend.ready.get()
+        backend.takes_work()
             && !self.state.is_evacuated(&backend.zone)
             && may_run_in(
                 &backend.region,
@@ -353,6 +353,9 @@
         }
         let said = Said::new(&response.head.fields, &self.state.names);
         self.note_limit(backend, said.limit);
+        if said.leaves {
+            self.state.note_leaving(backend);
+        }
         if let Some(load) = said.load {
             backend.note_load(load.running, load.waiting, Instant::now());
             self.state.without_load.borrow_mut().remove(self.service);
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -53,7 +53,7 @@
                 let all = servers.of(service).iter();
                 to_f64(all.filter(|backend| filter(backend)).count())
             };
-            let ready = count(&|backend| backend.ready.get());
+            let ready = count(&|backend| backend.takes_work());
             gauges.servers.with_label_values(&[service]).set(ready);
             let limited = count(&|backend| backend.limiter.borrow().per_s().is_some());
             gauges.limited.with_label_values(&[service]).set(limited);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod dispatch;
 mod gauges;
 mod head;
+mod leaving;
 mod lookup;
 mod memory;
 pub mod metrics;
--- a/crates/entry/src/names.rs
+++ b/crates/entry/src/names.rs
@@ -19,6 +19,8 @@
     pub not_run: &'static str,
     /// Header: load of a backend server: requests running, requests waiting, slots.
     pub load: &'static str,
+    /// Header: whether a backend server leaves, `1` if so.
+    pub leaving: &'static str,
     /// Header: requests a second that a backend server takes from all entry VMs together.
     pub limit: &'static str,
     /// Path of lookups of entry VMs.
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -105,7 +105,7 @@
     let mut delay = FIRST_DELAY;
     loop {
         sleep(delay).await;
-        if !backend.is_unreachable() || !backend.ready.get() {
+        if !backend.is_unreachable() || !backend.takes_work() {
             return;
         }
         let was_partitioned = was_partitioned(&state);
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -111,6 +111,7 @@
                 let zone = &server.registration.zone;
                 let region = self.region_of(zone).to_owned();
                 let backend = Backend::new(server, &region, self.distance_to(zone), now);
+                backend.leaves.set(self.leaving.contains(&backend));
                 event::emit(&Event::ServerJoined {
                     server: id.to_owned(),
                     service: server.registration.service.clone(),
--- a/crates/entry/src/said.rs
+++ b/crates/entry/src/said.rs
@@ -13,6 +13,8 @@
     pub load: Option<Load>,
     /// Its limit.
     pub limit: Limit,
+    /// Whether it leaves.
+    pub leaves: bool,
 }
 
 /// Requests at a backend server.
@@ -42,6 +44,9 @@
         Self {
             load: fields.text(names.load).and_then(load),
             limit: limit(fields.all(names.limit)),
+            leaves: fields
+                .all(names.leaving)
+                .any(|value| value.trim_ascii() == b"1"),
         }
     }
 }
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -45,6 +45,8 @@
     pub owner: Cell<(Option<u64>, bool)>,
     /// Its warmth as last logged.
     pub logged_warmth: Cell<Warmth>,
+    /// Whether a response said that it leaves. An incarnation that leaves does not come back.
+    pub leaves: Cell<bool>,
     /// The limit that it names on the requests from all entry VMs together.
     pub limiter: RefCell<Limiter>,
     /// Whether an invalid header of its responses was logged.
@@ -139,6 +141,7 @@
             heartbeat: Cell::new(Heartbeat::new(registration, now)),
             owner: Cell::default(),
             logged_warmth: Cell::new(Warmth::Warm),
+            leaves: Cell::new(false),
             limiter: RefCell::default(),
             logged_invalid: Cell::new(false),
             idle: RefCell::default(),
@@ -197,10 +200,16 @@
         u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns whether it takes new work, as far as it has said.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.ready.get() && !self.leaves.get()
+    }
+
     /// Returns whether requests may be sent to it at all.
     #[must_use]
     pub fn is_usable(&self) -> bool {
-        self.ready.get() && !self.unreachable.get()
+        self.takes_work() && !self.unreachable.get()
     }
 
     /// Returns whether it could not be reached the last time.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 
 use crate::ask::Asks;
+use crate::leaving::Leaving;
 use crate::memory::Pool;
 use crate::metrics::Metrics;
 use crate::names::Names;
@@ -76,6 +77,8 @@
     pub quarantine: Quarantine,
     /// Memory for request bodies.
     pub body_memory: Pool,
+    /// Backend servers that said that they leave.
+    pub(crate) leaving: Leaving,
     /// Servers that were found unreachable since the latest response.
     pub(crate) partition: RefCell<Detector>,
     /// When all servers were last probed because this VM seemed to be partitioned.
@@ -170,6 +173,7 @@
             serving: RefCell::default(),
             quarantine: Quarantine::default(),
             body_memory,
+            leaving: Leaving::default(),
             partition: RefCell::default(),
             swept_at: Cell::new(None),
             resting_relays: Resting::default(),
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -201,7 +201,7 @@
     let since = Instant::now();
     let until = since + span;
     let mut idle = server.idle.borrow_mut();
-    if idle.len() < max_idle && server.ready.get() {
+    if idle.len() < max_idle && server.takes_work() {
         idle.push(Idle {
             stream,
             since,
