Send nothing to a server for the time for which it wants no requests

A server that rejected a request with 503 and said when it takes others got them all the same.

Cause: the time that a rejecting server names was not read. Class: what a server says of itself that nobody reads.

Change: the VM sends the server nothing for that time, bounded to a minute and spread at its end; a value that cannot be read is ignored, counted and logged once. The rejected request goes to another server as before. If no other has room, callers are told when the server takes requests again.

Conclusion: load, limit, leaving and waiting are read in one place (entry::said) and decide in one (Dispatch::is_eligible). A ramp after the wait is not built.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -163,7 +163,7 @@
 
     async fn step(&mut self) -> Result<Step, Refusal> {
         let backend = self.choose()?;
-        if !self.state.admit_to_server(&backend).await || !backend.is_usable() {
+        if !self.state.admit_to_server(&backend).await || !backend.takes_requests(Instant::now()) {
             self.attempts.without_token += 1;
             return Ok(Step::Retry);
         }
@@ -223,7 +223,7 @@
     }
 
     fn is_eligible(&self, backend: &Rc<Backend>, now: Instant) -> bool {
-        backend.is_usable()
+        backend.takes_requests(now)
             && !self
                 .attempts
                 .servers
@@ -255,17 +255,25 @@
         !is_limited || (self.attempts.without_token < MAX_WITHOUT_TOKEN && limiter.may_ask(now))
     }
 
-    /// Returns the refusal of a request that no server of `servers` may get. If limits are the reason, the
-    /// caller learns when the first of them has a token.
+    /// Returns the refusal of a request that no server of `servers` may get. If servers that name a limit
+    /// or want no requests for a while are the reason, the caller learns when the first of them has room.
     fn exhausted(&self, servers: &[Rc<Backend>], now: Instant) -> Refusal {
+        let reason = self.attempts.counts.exhausted_reason();
+        if !matches!(reason, Reason::NoCapacity | Reason::NoServer) {
+            return refusal(reason);
+        }
         let usable = servers.iter().filter(|backend| backend.is_usable());
-        let waits = usable.filter_map(|backend| backend.limiter.borrow().remaining_wait(now));
-        match (waits.min(), self.attempts.counts.exhausted_reason()) {
-            (Some(wait), Reason::NoCapacity | Reason::NoServer) => {
-                Refusal::ServerLimit(wait + retry_jitter())
-            }
-            (_, reason) => refusal(reason),
+        let limited = |backend: &Rc<Backend>| backend.limiter.borrow().remaining_wait(now);
+        if let Some(wait) = usable.clone().filter_map(limited).min() {
+            return Refusal::ServerLimit(wait + retry_jitter());
         }
+        let wait = usable
+            .filter_map(|backend| backend.remaining_wait(now))
+            .min();
+        wait.map_or_else(
+            || refusal(reason),
+            |wait| Refusal::NoCapacity(wait + retry_jitter()),
+        )
     }
 
     /// Returns whether the request may be sent to `backend` as far as its warmth is concerned.
@@ -351,8 +359,13 @@
                 .quarantine
                 .note_response(fingerprint, backend.addr);
         }
-        let said = Said::new(&response.head.fields, &self.state.names);
+        let said = Said::new(
+            response.head.status,
+            &response.head.fields,
+            &self.state.names,
+        );
         self.note_limit(backend, said.limit);
+        self.note_wait(backend, said.wait);
         if said.leaves {
             self.state.note_leaving(backend);
         }
@@ -371,20 +384,32 @@
         match limit {
             said::Limit::Absent => backend.note_limit(None),
             said::Limit::PerS(per_s) => backend.note_limit(Some(per_s)),
-            said::Limit::Invalid => {
-                self.state.metrics.note_bad_header();
-                if backend.logged_invalid.replace(true) {
-                    return;
-                }
-                event::emit(&Event::HeaderInvalid {
-                    request: attempt_of(self.state, &self.incoming.head),
-                    server: backend.id.to_string(),
-                    header: self.state.names.limit.to_owned(),
-                });
-            }
+            said::Limit::Invalid => self.note_invalid(backend, self.state.names.limit),
+        }
+    }
+
+    /// Records how long `backend` wants no requests.
+    fn note_wait(&self, backend: &Backend, wait: said::Wait) {
+        match wait {
+            said::Wait::Absent => {}
+            said::Wait::For(wait) => backend.note_wait(wait, Instant::now()),
+            said::Wait::Invalid => self.note_invalid(backend, said::RETRY_AFTER),
         }
     }
 
+    /// Records that a header of a response of `backend` cannot be read.
+    fn note_invalid(&self, backend: &Backend, header: &str) {
+        self.state.metrics.note_bad_header();
+        if backend.logged_invalid.replace(true) {
+            return;
+        }
+        event::emit(&Event::HeaderInvalid {
+            request: attempt_of(self.state, &self.incoming.head),
+            server: backend.id.to_string(),
+            header: header.to_owned(),
+        });
+    }
+
     /// Records the outcome of an attempt at `backend`, and decides what follows.
     fn next_step(&mut self, backend: &Rc<Backend>, outcome: Outcome) -> Result<Step, Refusal> {
         let mut is_retriable = self.route.idempotency == Idempotency::Idempotent;
--- a/crates/entry/src/said.rs
+++ b/crates/entry/src/said.rs
@@ -1,10 +1,22 @@
 //! What a backend server says of itself in a response.
 
+use std::time::Duration;
+
 use crate::head::Fields;
 use crate::names::Names;
 
-/// Longest text of a limit that is read, in bytes.
-const MAX_LIMIT_BYTES: usize = 32;
+/// Status of a server that rejects requests.
+const UNAVAILABLE: u16 = 503;
+
+/// Header with the seconds for which a server that rejects a request wants no others.
+pub const RETRY_AFTER: &str = "Retry-After";
+
+/// Longest time for which a server gets no requests, whatever it says. Only requests tell that it has
+/// recovered.
+const MAX_WAIT: Duration = Duration::from_mins(1);
+
+/// Longest text of a number that is read, in bytes.
+const MAX_NUMBER_BYTES: usize = 32;
 
 /// What a backend server says of itself in one response.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -15,6 +27,8 @@
     pub limit: Limit,
     /// Whether it leaves.
     pub leaves: bool,
+    /// How long it wants no requests.
+    pub wait: Wait,
 }
 
 /// Requests at a backend server.
@@ -37,16 +51,32 @@
     Invalid,
 }
 
+/// How long a server that rejects a request wants no others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wait {
+    /// It does not say.
+    Absent,
+    /// This time.
+    For(Duration),
+    /// No value that can be read.
+    Invalid,
+}
+
 impl Said {
-    /// Reads the headers of a response.
+    /// Reads the headers of a response with the given status.
     #[must_use]
-    pub fn new(fields: &Fields, names: &Names) -> Self {
+    pub fn new(status: u16, fields: &Fields, names: &Names) -> Self {
         Self {
             load: fields.text(names.load).and_then(load),
             limit: limit(fields.all(names.limit)),
             leaves: fields
                 .all(names.leaving)
                 .any(|value| value.trim_ascii() == b"1"),
+            wait: if status == UNAVAILABLE {
+                wait(fields.get(RETRY_AFTER))
+            } else {
+                Wait::Absent
+            },
         }
     }
 }
@@ -73,12 +103,22 @@
     limit
 }
 
+fn wait(value: Option<&[u8]>) -> Wait {
+    let Some(value) = value else {
+        return Wait::Absent;
+    };
+    let seconds = decimal(value).map(|seconds| seconds.min(MAX_WAIT.as_secs_f64()));
+    seconds.map_or(Wait::Invalid, |seconds| {
+        Wait::For(Duration::from_secs_f64(seconds))
+    })
+}
+
 /// Returns the value of digits with at most one decimal point.
 fn decimal(value: &[u8]) -> Option<f64> {
     let text = std::str::from_utf8(value).ok()?.trim();
     let is_digit = |byte: u8| byte.is_ascii_digit();
     let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
-    let is_decimal = text.len() <= MAX_LIMIT_BYTES
+    let is_decimal = text.len() <= MAX_NUMBER_BYTES
         && !(whole.is_empty() && fraction.is_empty())
         && whole.bytes().all(is_digit)
         && fraction.bytes().all(is_digit);
--- a/crates/entry/src/said/tests.rs
+++ b/crates/entry/src/said/tests.rs
@@ -1,4 +1,6 @@
-use super::{Limit, limit};
+use std::time::Duration;
+
+use super::{Limit, MAX_WAIT, Wait, limit, wait};
 
 fn of(values: &[&str]) -> Limit {
     limit(values.iter().map(|value| value.as_bytes()))
@@ -28,3 +30,21 @@
     assert_eq!(of(&["5.5", "x", "9"]), Limit::PerS(5.5));
     assert_eq!(of(&["x", "9"]), Limit::PerS(9.0));
 }
+
+#[test]
+fn reads_seconds_to_wait_and_bounds_them() {
+    assert_eq!(wait(None), Wait::Absent);
+    assert_eq!(wait(Some(b"2")), Wait::For(Duration::from_secs(2)));
+    assert_eq!(wait(Some(b"0.25")), Wait::For(Duration::from_millis(250)));
+    assert_eq!(wait(Some(b"99999999")), Wait::For(MAX_WAIT));
+    for value in [
+        &b""[..],
+        b"-1",
+        b"NaN",
+        b"1e9",
+        b"Wed, 21 Oct 2026 07:28:00 GMT",
+        b"\xff",
+    ] {
+        assert_eq!(wait(Some(value)), Wait::Invalid, "{value:?}");
+    }
+}
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::{Phase, Registration, Server, ServerId};
+use rand::Rng as _;
 use steer::load::Load;
 use steer::placement::{Distance, hash};
 use steer::server_limit::Limiter;
@@ -15,6 +16,9 @@
 use crate::upstream::Idle;
 use crate::warmth::Cause;
 
+/// Maximum time by which a wait is extended at random, so that entry VMs do not return all at once.
+const MAX_WAIT_SPREAD: Duration = Duration::from_millis(300);
+
 /// A backend server with this entry VM's requests and connections.
 #[derive(Debug)]
 pub struct Backend {
@@ -47,6 +51,8 @@
     pub logged_warmth: Cell<Warmth>,
     /// Whether a response said that it leaves. An incarnation that leaves does not come back.
     pub leaves: Cell<bool>,
+    /// Until when it wants no requests.
+    waits_until: Cell<Option<Instant>>,
     /// The limit that it names on the requests from all entry VMs together.
     pub limiter: RefCell<Limiter>,
     /// Whether an invalid header of its responses was logged.
@@ -142,6 +148,7 @@
             owner: Cell::default(),
             logged_warmth: Cell::new(Warmth::Warm),
             leaves: Cell::new(false),
+            waits_until: Cell::new(None),
             limiter: RefCell::default(),
             logged_invalid: Cell::new(false),
             idle: RefCell::default(),
@@ -200,6 +207,19 @@
         u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Records that it wants no requests for `wait`. The latest word counts.
+    pub fn note_wait(&self, wait: Duration, now: Instant) {
+        let spread = MAX_WAIT_SPREAD.mul_f64(rand::rng().random());
+        self.waits_until.set(Some(now + wait + spread));
+    }
+
+    /// Returns the time for which it wants no requests, if it does not want any now.
+    #[must_use]
+    pub fn remaining_wait(&self, now: Instant) -> Option<Duration> {
+        let until = self.waits_until.get()?;
+        (now < until).then(|| until.duration_since(now))
+    }
+
     /// Returns whether it takes new work, as far as it has said.
     #[must_use]
     pub fn takes_work(&self) -> bool {
@@ -212,6 +232,12 @@
         self.takes_work() && !self.unreachable.get()
     }
 
+    /// Returns whether requests may be sent to it now.
+    #[must_use]
+    pub fn takes_requests(&self, now: Instant) -> bool {
+        self.is_usable() && self.remaining_wait(now).is_none()
+    }
+
     /// Returns whether it could not be reached the last time.
     #[must_use]
     pub fn is_unreachable(&self) -> bool {
