--- a/crates/standin/src/listener.rs
+++ b/crates/standin/src/listener.rs
@@ -134,6 +134,15 @@
         })
     }
 
+    /// Listens on `addr` and relays to `target`, apart from other listeners.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub fn link(addr: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        Self::start(addr, target, Connections::default())
+    }
+
     /// The address that callers connect to.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
--- a/crates/standin/src/users/http.rs
+++ b/crates/standin/src/users/http.rs
@@ -8,41 +8,47 @@
 use rouille::{Request, Response};
 use serde_json::{Value, json};
 
-use super::Fault;
 use super::keys::{Change, Conflict, Item, Keys};
+use super::{Alias, Fault};
 use crate::listener::Connections;
 
 /// Most keys of a page; the users name about 500, and a small one makes tests turn pages.
 const PAGE: usize = 3;
 
 /// Answers `request`.
-pub fn answer(keys: &Keys, request: &Request, fault: Fault, connections: &Connections) -> Response {
+pub fn answer(
+    keys: &Keys,
+    request: &Request,
+    fault: Fault,
+    aliases: &[Alias],
+    connections: &Connections,
+) -> Response {
     match fault {
-        Fault::None => serve(keys, request),
+        Fault::None => serve(keys, request, aliases),
         Fault::Refuse(status) => Response::text("").with_status_code(status),
         Fault::Reset => {
             connections.close(*request.remote_addr());
             Response::text("")
         }
         Fault::LoseAnswers => {
-            let answer = serve(keys, request);
+            let answer = serve(keys, request, aliases);
             connections.close(*request.remote_addr());
             answer
         }
     }
 }
 
-fn serve(keys: &Keys, request: &Request) -> Response {
+fn serve(keys: &Keys, request: &Request, aliases: &[Alias]) -> Response {
     let parameter = |name: &str| request.get_param(name).unwrap_or_default();
     let number = |name: &str| parameter(name).parse::<u64>().unwrap_or_default();
     match (request.method(), request.url().as_str()) {
-        ("GET", "/-/kv-key") => key(keys, &parameter("key")),
-        ("GET", "/-/kv-range") => range(keys, &parameter("prefix"), &parameter("after")),
+        ("GET", "/-/kv-key") => key(keys, &parameter("key"), aliases),
+        ("GET", "/-/kv-range") => range(keys, &parameter("prefix"), &parameter("after"), aliases),
         ("GET", "/-/kv-watch") => {
             let wait = Duration::from_millis(number("wait_ms"));
-            watch(keys, &parameter("prefix"), number("after"), wait)
+            watch(keys, &parameter("prefix"), number("after"), wait, aliases)
         }
-        ("POST", "/-/kv-txn") => transact(keys, &body(request)),
+        ("POST", "/-/kv-txn") => transact(keys, &body(request), aliases),
         ("POST", "/-/kv-lease") => grant(keys, &body(request)),
         ("POST", url) if url.starts_with("/-/kv-keep/") => renew(keys, url),
         ("DELETE", url) if url.starts_with("/-/kv-lease-end/") => end(keys, url),
@@ -65,38 +71,49 @@
     }
 }
 
-fn item(item: &Item) -> Value {
+fn item(item: &Item, aliases: &[Alias]) -> Value {
     json!({
         "key": item.key,
-        "value": STANDARD.encode(&item.value),
+        "value": STANDARD.encode(aliased(&item.value, aliases)),
         "revision": item.revision,
         "created": item.created,
         "lease": item.lease,
     })
 }
 
-fn key(keys: &Keys, name: &str) -> Response {
+/// Returns `value` with the aliases of the addresses in it.
+fn aliased(value: &[u8], aliases: &[Alias]) -> Vec<u8> {
+    let Ok(text) = std::str::from_utf8(value) else {
+        return value.to_vec();
+    };
+    let replace = |text: String, alias: &Alias| {
+        text.replace(&alias.addr.to_string(), &alias.alias.to_string())
+    };
+    aliases.iter().fold(text.to_owned(), replace).into_bytes()
+}
+
+fn key(keys: &Keys, name: &str, aliases: &[Alias]) -> Response {
     let (found, revision) = keys.get(name);
     let Some(found) = found else {
         return status(404);
     };
-    let mut found = item(&found);
+    let mut found = item(&found, aliases);
     found["as_of"] = json!(revision);
     Response::json(&found)
 }
 
-fn range(keys: &Keys, prefix: &str, after: &str) -> Response {
+fn range(keys: &Keys, prefix: &str, after: &str, aliases: &[Alias]) -> Response {
     let (items, has_more, revision) = keys.range(prefix, after, PAGE);
-    let items: Vec<Value> = items.iter().map(item).collect();
+    let items: Vec<Value> = items.iter().map(|found| item(found, aliases)).collect();
     Response::json(&json!({ "items": items, "has_more": has_more, "as_of": revision }))
 }
 
-fn watch(keys: &Keys, prefix: &str, after: u64, wait: Duration) -> Response {
+fn watch(keys: &Keys, prefix: &str, after: u64, wait: Duration, aliases: &[Alias]) -> Response {
     let Some((changes, revision)) = keys.watch(prefix, after, wait) else {
         return status(410);
     };
     let event = |change: &Change| match change {
-        Change::Put(put) => item(put),
+        Change::Put(put) => item(put, aliases),
         Change::Removed { key, revision } => {
             json!({ "key": key, "revision": revision, "removed": true })
         }
@@ -105,7 +122,7 @@
     Response::json(&json!({ "events": events, "as_of": revision }))
 }
 
-fn transact(keys: &Keys, body: &Value) -> Response {
+fn transact(keys: &Keys, body: &Value, aliases: &[Alias]) -> Response {
     let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
     let name = |row: &Value| row["key"].as_str().unwrap_or_default().to_owned();
     let expected = rows("expected_rev");
@@ -132,7 +149,7 @@
         Ok(revision) => Response::json(&json!({ "revision": revision })),
         Err(Conflict::Revision) => {
             let current = expected.iter().filter_map(|(key, _)| keys.get(key).0);
-            let items: Vec<Value> = current.map(|found| item(&found)).collect();
+            let items: Vec<Value> = current.map(|found| item(&found, aliases)).collect();
             Response::json(&json!({ "items": items })).with_status_code(412)
         }
         Err(Conflict::Lease) => status(404),
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -35,6 +35,15 @@
     LoseAnswers,
 }
 
+/// An address in the store's values that a face replaces by another one.
+#[derive(Debug, Clone, Copy)]
+pub struct Alias {
+    /// The address.
+    pub addr: SocketAddr,
+    /// What the face answers with in its place.
+    pub alias: SocketAddr,
+}
+
 /// An address at which the store is reached.
 #[derive(Debug)]
 pub struct Face {
@@ -63,6 +72,15 @@
     ///
     /// Fails if no address can be bound.
     pub fn face(&self) -> eyre::Result<Face> {
+        self.face_with_aliases(Vec::new())
+    }
+
+    /// Opens another address, whose answers have `aliases` in place of addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address can be bound.
+    pub fn face_with_aliases(&self, aliases: Vec<Alias>) -> eyre::Result<Face> {
         let fault: Arc<Mutex<Fault>> = Arc::default();
         let calls: Arc<AtomicUsize> = Arc::default();
         let connections = Connections::default();
@@ -74,7 +92,7 @@
             Server::start(move |request| {
                 calls.fetch_add(1, Ordering::Relaxed);
                 let fault = *lock(&fault);
-                http::answer(&keys, request, fault, &connections)
+                http::answer(&keys, request, fault, &aliases, &connections)
             })?
         };
         let listener =
