Mend what reading the change found: owners that do not know a server, relays counted twice

Cause: read, not seen. A VM that was asked for a token of a server that it did not know yet gave no answer, and counted as silent for a second, for workspaces' rates too. A relayed request counted as a request at two VMs, so that their retry budgets together were larger than the fleet's. A VM with an older configuration answered a relayed request 404 or 401. One unreachable server among others that had no room was enough to pass requests on.

Change: the owner asks to come back; only the VM that the caller asked counts; another VM is tried after a 404 or 401 of a VM; requests are passed on if all servers that may run them are unreachable, or those tried.

--- a/crates/entry/src/ask.rs
+++ b/crates/entry/src/ask.rs
@@ -125,7 +125,7 @@
     fn grant(&self, ask: Ask) -> Option<Grant> {
         match ask.subject {
             Subject::Workspace(id) => self.grant_rate(id, ask.wanted, ask.is_standby),
-            Subject::Server(limit) => self.grant_server(&limit, ask.is_standby),
+            Subject::Server(limit) => Some(self.grant_server(&limit, ask.is_standby)),
         }
     }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -139,17 +139,19 @@
         Err(refusal)
     }
 
-    /// Returns whether another VM may reach a server for the request: this one reaches none of those
-    /// that may run it, or failed to reach the ones that it chose.
+    /// Returns whether another VM may reach a server for the request: this one failed to reach those that
+    /// it chose, or knows that it reaches none of those that may run it.
     fn should_relay(&self) -> bool {
         if self.origin == Origin::Vm {
             return false;
         }
+        if self.attempts.counts.unreachable() > 0 {
+            return true;
+        }
         let servers = self.state.servers.borrow();
-        let mut permitted = servers.of(self.service).iter();
-        let has_failed = self.attempts.counts.unreachable() > 0;
-        permitted.any(|backend| self.is_permitted(backend) && backend.is_unreachable())
-            || has_failed
+        let permitted = servers.of(self.service).iter();
+        let mut permitted = permitted.filter(|backend| self.is_permitted(backend));
+        permitted.clone().count() > 0 && permitted.all(|backend| backend.is_unreachable())
     }
 
     /// Returns the number of servers that the request may be sent to.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -77,11 +77,12 @@
         for vm in self.relays().into_iter().take(MAX_VMS) {
             match self.relay_through(vm, left).await {
                 Step::Done(outcome) => {
-                    self.note_relay(vm, "answered");
+                    self.state.metrics.note_relay("answered");
+                    self.log_first_relay(vm);
                     return Some(outcome);
                 }
                 Step::Next => {
-                    self.note_relay(vm, "no-help");
+                    self.state.metrics.note_relay("no-help");
                     let resting = &self.state.resting_relays;
                     resting.insert(vm, self.service, Instant::now());
                 }
@@ -156,21 +157,24 @@
         }
     }
 
-    fn note_relay(&self, vm: SocketAddr, outcome: &str) {
-        self.state.metrics.note_relay(outcome);
-        if outcome == "answered" && !self.state.relays_logged.replace(true) {
-            event::emit(&Event::RelayBegan {
-                request: attempt_of(self.state, &self.incoming.head),
-                service: self.service.to_owned(),
-                vm,
-            });
+    fn log_first_relay(&self, vm: SocketAddr) {
+        if self.state.relays_logged.replace(true) {
+            return;
         }
+        event::emit(&Event::RelayBegan {
+            request: attempt_of(self.state, &self.incoming.head),
+            service: self.service.to_owned(),
+            vm,
+        });
     }
 }
 
-/// Returns whether a refusal concerns only the VM that refused: another one may serve the request.
+/// Returns whether a refusal concerns only the VM that refused: another one may serve the request. A VM
+/// that does not know the route or the workspace has another configuration.
 fn is_local(reason: &[u8]) -> bool {
     let local = [
+        Refusal::NoRoute,
+        Refusal::NoKey,
         Refusal::NoServer(Duration::ZERO),
         Refusal::NoMemory(Duration::ZERO),
         Refusal::Starting,
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -61,7 +61,10 @@
     let object = object(state, incoming);
     let service = service(state, route, object);
     service.clone_into(&mut log.service);
-    state.note_request(service);
+    // The VM that the caller asked has counted a relayed request.
+    if origin == Origin::Caller {
+        state.note_request(service);
+    }
     let mut dispatch = Dispatch {
         state,
         config,
--- a/crates/entry/src/server_limit.rs
+++ b/crates/entry/src/server_limit.rs
@@ -17,6 +17,9 @@
 /// Time for which a limit, or its withdrawal, is reported to other entry VMs after it was heard.
 const REPORTED_FOR: Duration = Duration::from_secs(10);
 
+/// Time after which a VM asks again for a token of a server that the owner does not know yet.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
+
 /// Maximum number of limits reported at once.
 const MAX_REPORTED: usize = 64;
 
@@ -60,16 +63,18 @@
         false
     }
 
-    /// Grants a token of a server's limit; returns `None` for a server that this VM does not know.
-    pub fn grant_server(&self, limit: &ServerLimit, is_standby: bool) -> Option<Grant> {
+    /// Grants a token of a server's limit; none for a server that this VM does not know yet.
+    pub fn grant_server(&self, limit: &ServerLimit, is_standby: bool) -> Grant {
         let servers = self.servers.borrow();
-        let backend = servers.with_hash(limit.server)?;
+        let Some(backend) = servers.with_hash(limit.server) else {
+            return Grant::Wait(UNKNOWN_WAIT);
+        };
         let now = Instant::now();
         backend.note_reported_limit(limit, now);
         let ownership = self.ownership(backend.member(), is_standby);
         let alive_ratio = self.views.borrow().alive_ratio();
         let mut limiter = backend.limiter.borrow_mut();
-        Some(limiter.grant(ownership, alive_ratio, now))
+        limiter.grant(ownership, alive_ratio, now)
     }
 
     /// Returns the limits that this VM heard lately, the latest first.
