Take a server for reachable again only after a connection of a probe

Cause: a response on an old connection made the server count as reachable, so the next request without a kept connection waited 600 ms for a new one, then for another, and timed out. Class: a sign of life of one path taken for another's.

Change: a response no longer ends unreachability; the probe that runs as long as a server is unreachable does.

Test files path, state, cold, stop pass.

Conclusion: a server that was found unreachable by mistake stays unused until its probe, 0.4 s later.

--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -278,9 +278,9 @@
         self.warmup.borrow().is_reported_cold(now)
     }
 
-    /// Records a response.
+    /// Records a response. It may have come over an old connection, so it does not show that the server
+    /// accepts new ones: only a probe does.
     pub fn note_response(&self, now: Instant) {
-        self.set_reachable();
         self.answered_at.set(Some(now));
     }
 
