Log which VM helped a request, by which version, and why one could not

Cause: `RelayBegan` is logged once for each time of being cut off, so a log can't tell the hypotheses of the incident apart. Change: a request that is passed on names the version of the configuration, the answer too; `RequestEnded` has `via`, `via_config` and `asked_config`, `RelayRefused` names VM and reason, the metric counts reasons. No decision is changed.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,12 +1,13 @@
 //! Sends a request to backend servers until one of them answers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use event::Event;
 use fleet::config::may_run_in;
-use fleet::{Config, Idempotency, Route, Workspace};
+use fleet::{Config, Idempotency, Route, Version, Workspace};
 use killer::Fingerprint;
 use rand::Rng as _;
 use steer::admission::retry_after;
@@ -22,7 +23,7 @@
 use crate::outstanding::Room;
 use crate::quarantine;
 use crate::reach;
-use crate::relay;
+use crate::relay::headers::Asked;
 use crate::request_log::attempt_of;
 use crate::response::{Refusal, forwarded_head};
 use crate::said::{self, Said};
@@ -91,6 +92,8 @@
     pub deadline: Instant,
     /// Attempts so far.
     pub attempts: Attempts,
+    /// VM through which it was passed on last, and the version of the configuration that this VM named.
+    pub via: Option<(SocketAddr, Version)>,
 }
 
 /// Attempts of one request.
@@ -167,7 +170,7 @@
 
     /// Returns the number of servers that the request may be sent to.
     pub fn max_sent(&self) -> u32 {
-        let relayed = relay::max_attempts(&self.incoming.head);
+        let relayed = Asked::of(&self.incoming.head).attempts;
         let relayed = relayed.filter(|_| self.origin == Origin::Vm);
         relayed.map_or(self.route.max_attempts, |left| {
             left.min(self.route.max_attempts)
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -159,7 +159,7 @@
     "teaseldoor_relayed_requests_total",
     "counter",
     &["outcome"],
-    "Requests passed on through another entry VM, since this one reaches no backend server for them.",
+    "Requests passed on through another entry VM, since this one reaches no backend server for them, by the answer of each VM asked: `answered`, the reason of its refusal, `unreachable`, or `unknown` for a reason of a later version.",
 );
 const STORE_AGE: Entry = entry(
     "teaseldoor_state_age_seconds",
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -15,18 +15,18 @@
 use rand::Rng as _;
 use steer::placement::Distance;
 
+use fleet::Version;
+
 use crate::dispatch::Dispatch;
-use crate::head::{Fields, Request};
+use crate::head::Fields;
 use crate::request_log::attempt_of;
 use crate::response::{Refusal, forwarded_head};
 use crate::state::State;
 use crate::upstream::{self, Outcome, Outgoing, Response};
 
-/// Header of a relayed request: number of servers that it may be sent to.
-pub const ATTEMPTS: &str = "Teaseldoor-Attempts";
+pub mod headers;
 
-/// Header of a response to a relayed request: the reason, if the VM itself refused the request.
-pub const REFUSED: &str = "Teaseldoor-Refused";
+use headers::Asked;
 
 /// Maximum number of VMs that a request is passed on to.
 const MAX_VMS: usize = 3;
@@ -52,12 +52,6 @@
     }
 }
 
-/// Returns the number of servers that a relayed request may be sent to, if it says so.
-#[must_use]
-pub fn max_attempts(head: &Request) -> Option<u32> {
-    head.fields.text(ATTEMPTS)?.parse().ok()
-}
-
 /// What followed from passing a request on to a VM.
 enum Step {
     /// The outcome for the caller.
@@ -68,7 +62,7 @@
 
 impl Dispatch<'_> {
     /// Passes the request on through another VM; returns `None` if no VM can help.
-    pub async fn relay(&self) -> Option<Result<Response, Refusal>> {
+    pub async fn relay(&mut self) -> Option<Result<Response, Refusal>> {
         let sent = self.attempts.counts.sent();
         let left = self.max_sent().saturating_sub(sent);
         if left == 0 || (sent > 0 && !self.state.take_retry(self.service)) {
@@ -77,12 +71,10 @@
         for vm in self.relays().into_iter().take(MAX_VMS) {
             match self.relay_through(vm, left).await {
                 Step::Done(outcome) => {
-                    self.state.metrics.note_relay("answered");
                     self.log_first_relay(vm);
                     return Some(outcome);
                 }
                 Step::Next => {
-                    self.state.metrics.note_relay("no-help");
                     let resting = &self.state.resting_relays;
                     resting.insert(vm, self.service, Instant::now());
                 }
@@ -91,26 +83,55 @@
         None
     }
 
-    async fn relay_through(&self, vm: SocketAddr, left: u32) -> Step {
+    async fn relay_through(&mut self, vm: SocketAddr, left: u32) -> Step {
         let request = self.relayed(left);
         let names = &self.state.names;
         let memory = self.state.body_memory.reservation();
         match upstream::send_once(vm, &request, names, memory, self.deadline).await {
             Outcome::Answered(mut response) => {
-                let refused = response.head.fields.take(REFUSED);
-                let is_help = refused.is_none_or(|reason| !is_local(&reason));
-                if is_help {
-                    Step::Done(Ok(response))
-                } else {
-                    Step::Next
+                let version = headers::version(&response.head.fields).unwrap_or_default();
+                response.head.fields.take(headers::CONFIG);
+                match response.head.fields.take(headers::REFUSED) {
+                    Some(reason) => {
+                        let reason = String::from_utf8_lossy(&reason).into_owned();
+                        self.note_no_help(vm, version, &reason);
+                        if is_local(reason.as_bytes()) {
+                            return Step::Next;
+                        }
+                    }
+                    None => self.state.metrics.note_relay("answered"),
                 }
+                self.via = Some((vm, version));
+                Step::Done(Ok(response))
+            }
+            Outcome::Unreachable(_) => {
+                self.note_no_help(vm, Version::default(), "unreachable");
+                Step::Next
+            }
+            Outcome::ConnectionLost(_) | Outcome::NoMemory => {
+                self.note_no_help(vm, Version::default(), Refusal::AnswerLost.name());
+                Step::Done(Err(Refusal::AnswerLost))
+            }
+            Outcome::TimedOut => {
+                self.note_no_help(vm, Version::default(), Refusal::TimedOut.name());
+                Step::Done(Err(Refusal::TimedOut))
             }
-            Outcome::Unreachable(_) => Step::Next,
-            Outcome::ConnectionLost(_) | Outcome::NoMemory => Step::Done(Err(Refusal::AnswerLost)),
-            Outcome::TimedOut => Step::Done(Err(Refusal::TimedOut)),
         }
     }
 
+    /// Counts and logs that `vm` did not answer the request.
+    fn note_no_help(&self, vm: SocketAddr, version: Version, reason: &str) {
+        self.state.metrics.note_relay(reason_label(reason));
+        event::emit(&Event::RelayRefused {
+            request: attempt_of(self.state, &self.incoming.head),
+            service: self.service.to_owned(),
+            vm,
+            reason: reason.to_owned(),
+            config: self.config.version.0,
+            vm_config: version.0,
+        });
+    }
+
     /// Returns the addresses of the VMs that may pass the request on, nearest first. The body of a
     /// request with home regions goes to no VM elsewhere.
     fn relays(&self) -> Vec<SocketAddr> {
@@ -140,12 +161,18 @@
         let incoming = self.incoming;
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         let names = &self.state.names;
+        let asked = Asked {
+            attempts: Some(left),
+            config: Some(self.config.version),
+        };
+        let added = asked.headers();
+        let added: Vec<(&str, &str)> = added.iter().map(|(n, v)| (*n, v.as_str())).collect();
         let head = forwarded_head(
             &incoming.head,
             names,
             incoming.body.len(),
             remaining.as_millis(),
-            &[(ATTEMPTS, &left.to_string())],
+            &added,
             self.workspace.map(|workspace| workspace.name.as_str()),
         );
         let attempt = incoming.head.fields.get(names.attempt);
@@ -169,6 +196,13 @@
     }
 }
 
+/// Returns the metric's label of the reason that another VM gave.
+fn reason_label(reason: &str) -> &'static str {
+    let known = Refusal::ALL.into_iter().map(Refusal::name);
+    let mut known = known.chain(["unreachable"]);
+    known.find(|known| *known == reason).unwrap_or("unknown")
+}
+
 /// Returns whether a refusal concerns only the VM that refused: another one may serve the request. A VM
 /// that does not know the route or the workspace has another configuration.
 fn is_local(reason: &[u8]) -> bool {
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -1,9 +1,11 @@
 //! The log entry of a request.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use event::Event;
+use fleet::Version;
 use steer::warmup::Warmth;
 
 use crate::caller::Incoming;
@@ -44,6 +46,10 @@
     pub warmth: Option<(Warmth, u64)>,
     /// Number of servers that the request was sent to.
     pub sent: u32,
+    /// VM through which it was passed on, and the version of the configuration that this VM named.
+    pub via: Option<(SocketAddr, Version)>,
+    /// Version of the configuration of the VM that passed it on to this one.
+    pub asked_config: Version,
 }
 
 thread_local! {
@@ -70,6 +76,8 @@
             server: None,
             warmth: None,
             sent: 0,
+            via: None,
+            asked_config: Version::default(),
         }
     }
 
@@ -82,6 +90,14 @@
         self.write(status, reason);
     }
 
+    /// Returns whether two VMs of different versions of the configuration handled the request.
+    fn has_crossed_versions(&self) -> bool {
+        let via = self.via.map(|(_, version)| version);
+        let asked = Some(self.asked_config);
+        let mut others = via.into_iter().chain(asked);
+        others.any(|other| other != Version::default() && other != self.state.version())
+    }
+
     fn write(&mut self, status: u16, reason: &str) {
         self.has_ended = true;
         self.state
@@ -89,7 +105,8 @@
             .note_request(&self.service, reason, self.since.elapsed());
         let ended = ENDED.get();
         ENDED.set(ended + 1);
-        if status < 300 && !ended.is_multiple_of(LOG_ONE_OF) {
+        let is_sampled = ended.is_multiple_of(LOG_ONE_OF) || self.has_crossed_versions();
+        if status < 300 && !is_sampled {
             return;
         }
         event::emit(&Event::RequestEnded {
@@ -111,6 +128,9 @@
                 .to_owned(),
             heartbeat_ms: self.warmth.map_or(0, |(_, age)| age),
             config: self.state.version().0,
+            via: self.via.map_or(String::new(), |(vm, _)| vm.to_string()),
+            via_config: self.via.map_or(0, |(_, version)| version.0),
+            asked_config: self.asked_config.0,
             ms: u64::try_from(self.since.elapsed().as_millis()).unwrap_or(u64::MAX),
         });
     }
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -216,7 +216,7 @@
         let mut reply = Self::refused(refusal);
         push_field(
             &mut reply.head,
-            relay::REFUSED.as_bytes(),
+            relay::headers::REFUSED.as_bytes(),
             refusal.name().as_bytes(),
         );
         reply
@@ -287,16 +287,11 @@
     head.extend_from_slice(b" ");
     head.extend_from_slice(&request.target);
     head.extend_from_slice(b" HTTP/1.1\r\n");
-    let replaced = [
-        names.key,
-        names.workspace,
-        names.target,
-        names.deadline,
-        relay::ATTEMPTS,
-    ];
+    let replaced = [names.key, names.workspace, names.target, names.deadline];
     for (name, value) in end_to_end(&request.fields) {
         let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
-        if !replaced.iter().any(is) && !is(&"content-length") && !is(&"expect") {
+        let is_replaced = replaced.iter().chain(&relay::headers::ALL).any(is);
+        if !is_replaced && !is(&"content-length") && !is(&"expect") {
             push_field(&mut head, name, value);
         }
     }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::{Attempts, Dispatch, Origin, fingerprint};
 use crate::head::Request;
 use crate::quota;
+use crate::relay::headers::{self, Asked};
 use crate::request_log::RequestLog;
 use crate::response::{Refusal, Reply};
 use crate::state::State;
@@ -18,9 +19,14 @@
 /// Answers a request.
 pub async fn answer(state: &Rc<State>, incoming: Incoming, origin: Origin) -> Reply {
     let mut log = RequestLog::new(state, &incoming);
+    let asked = match origin {
+        Origin::Vm => Asked::of(&incoming.head).config,
+        Origin::Caller => None,
+    };
+    log.asked_config = asked.unwrap_or_default();
     let outcome = run(state, &incoming, origin, &mut log).await;
     log.end(outcome.as_ref().map(|response| response.head.status));
-    match outcome {
+    let mut reply = match outcome {
         Ok(response) => {
             let is_head = &incoming.head.method[..] == b"HEAD";
             Reply::from_backend(response, is_head)
@@ -34,7 +40,11 @@
             reply.closes &= !matches!(refusal, Refusal::NoMemory(_));
             reply
         }
+    };
+    if asked.is_some() {
+        reply.add_header(headers::CONFIG, &state.version().0.to_string());
     }
+    reply
 }
 
 async fn run(
@@ -83,8 +93,10 @@
         object,
         deadline,
         attempts: Attempts::default(),
+        via: None,
     };
     let outcome = dispatch.run().await;
+    log.via = dispatch.via;
     log.warmth = dispatch.attempts.warmth;
     log.sent = dispatch.attempts.counts.sent();
     log.server = dispatch
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -73,7 +73,7 @@
     3008 info ZoneEvacuated { zone: String, evacuated: bool } "The evacuation of a zone began or ended.";
     3009 warn KeyUnreadable { key: String, problem: String } "A key in the store cannot be decoded; the last known value stays in use.";
     3010 warn NeighbourUnreachable { addr: SocketAddr, error: String } "Another entry VM did not report its state.";
-    3011 info RequestEnded { request: String, status: u16, reason: String, workspace: String, route: String, service: String, server: String, sent: u32, warmth: String, heartbeat_ms: u64, config: u64, ms: u64 } "A request was answered; successes are sampled. `warmth` is the assumed warmth of the last backend server when the request was sent to it, `heartbeat_ms` the age of its latest heartbeat at that time.";
+    3011 info RequestEnded { request: String, status: u16, reason: String, workspace: String, route: String, service: String, server: String, sent: u32, warmth: String, heartbeat_ms: u64, config: u64, via: String, via_config: u64, asked_config: u64, ms: u64 } "A request was answered; successes are sampled. `warmth` is the assumed warmth of the last backend server when the request was sent to it, `heartbeat_ms` the age of its latest heartbeat at that time. `via` is the VM through which it was passed on, `via_config` the configuration that this VM named. At that VM, `asked_config` is the configuration of the VM that passed it on.";
     3012 error ServerCrashed { server: String, fingerprint: String } "A backend server is unreachable right after it broke off a request.";
     3013 warn LinesDropped { lines: u64 } "Standard output was not read in time, so lines were dropped; `lines` counts the dropped lines since the start.";
     3014 warn SettingsUnreadable { error: String } "The settings cannot be reloaded; the previous settings stay in force.";
@@ -90,4 +90,5 @@
     3025 warn RelayBegan { request: String, service: String, vm: SocketAddr } "This VM reaches no backend server for a request and passed it on through another VM; logged once until a backend server is reached again.";
     3026 info RelayEnded {} "A backend server can be reached from this VM again.";
     3027 warn StoreEraChanged { era: u64, earlier: u64, revision: u64, earlier_revision: u64, missing: u64 } "The store was restored from an older copy and is in the era `era`, at `revision`; before, the state of `earlier` up to `earlier_revision` was known (0: the store named no era). `missing` counts the known keys that the copy does not have; they are kept until their writers had time to write them again.";
+    3028 info RelayRefused { request: String, service: String, vm: SocketAddr, reason: String, config: u64, vm_config: u64 } "The VM `vm`, through which a request was to be passed on, could not help. `config` is the configuration of this VM, `vm_config` the one that the other named (0: none).";
 }
