Serve a request of another VM only if both versions of the configuration agree on it

Cause: a request that is passed on carried neither the version nor the service. The VM that helped chose both anew by its own configuration, which may be older (frozen, cut off from the store) or newer.

Change: the request carries version, service and terms (repeatable or not, workspace, home regions) as hashes, the key, and the VM that asks. Answers of the store that were asked for before such a fetch no longer take its revision back. VMs of the previous build look at none of the headers and drop them.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::accept;
 use crate::announce;
 use crate::caller::Role;
+use crate::catch_up;
 use crate::names::Names;
 use crate::peers;
 use crate::settings::Settings;
@@ -74,6 +75,8 @@
         event::emit(&Event::MetricsNotServed { error });
     }
     let (reader, announcer) = (store.new_client(), store);
+    let decoder = reader.new_client();
+    spawn_local(catch_up::run(Rc::clone(&state), decoder));
     spawn_local(sync::run(Rc::clone(&state), reader));
     spawn_local(announce::run(Rc::clone(&state), announcer));
     let peers = spawn_local(peers::run(Rc::clone(&state)));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod balance;
 mod body;
 mod caller;
+mod catch_up;
 mod daemon;
 mod dispatch;
 mod gauges;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -13,18 +13,23 @@
 use event::Event;
 use fleet::config::may_run_in;
 use rand::Rng as _;
+use steer::agreement::{self, Ruling};
 use steer::placement::Distance;
 
 use fleet::Version;
 
 use crate::dispatch::Dispatch;
 use crate::head::Fields;
+use crate::peers;
 use crate::request_log::attempt_of;
 use crate::response::{Refusal, forwarded_head};
 use crate::state::State;
 use crate::upstream::{self, Outcome, Outgoing, Response};
 
 pub mod headers;
+mod relayed;
+
+pub use relayed::agree;
 
 use headers::Asked;
 
@@ -58,6 +63,8 @@
     Done(Result<Response, Refusal>),
     /// The VM has not run the request and cannot help.
     Next,
+    /// The VM has not run the request, and this VM has a later configuration now.
+    Outdated,
 }
 
 impl Dispatch<'_> {
@@ -74,6 +81,7 @@
                     self.log_first_relay(vm);
                     return Some(outcome);
                 }
+                Step::Outdated => return None,
                 Step::Next => {
                     let resting = &self.state.resting_relays;
                     resting.insert(vm, self.service, Instant::now());
@@ -96,7 +104,7 @@
                         let reason = String::from_utf8_lossy(&reason).into_owned();
                         self.note_no_help(vm, version, &reason);
                         if is_local(reason.as_bytes()) {
-                            return Step::Next;
+                            return self.after_no_help(vm, version).await;
                         }
                     }
                     None => self.state.metrics.note_relay("answered"),
@@ -119,6 +127,22 @@
         }
     }
 
+    /// Takes over the later configuration of `vm`, if that is why it could not help.
+    async fn after_no_help(&mut self, vm: SocketAddr, version: Version) -> Step {
+        if version <= self.config.version {
+            return Step::Next;
+        }
+        let state = self.state.membership.borrow().state_addr_of(vm);
+        let Some(state) = state else {
+            return Step::Next;
+        };
+        if self.state.catch_up(state, version).await {
+            Step::Outdated
+        } else {
+            Step::Next
+        }
+    }
+
     /// Counts and logs that `vm` did not answer the request.
     fn note_no_help(&self, vm: SocketAddr, version: Version, reason: &str) {
         self.state.metrics.note_relay(reason_label(reason));
@@ -163,10 +187,15 @@
         let names = &self.state.names;
         let asked = Asked {
             attempts: Some(left),
-            config: Some(self.config.version),
+            ruling: Some(self.ruling()),
+            vm: Some(peers::rank(&self.state.settings.vm)),
         };
         let added = asked.headers();
-        let added: Vec<(&str, &str)> = added.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let added = added.iter().map(|(name, value)| (*name, value.as_str()));
+        // The other VM looks the key up again, and passes it on to nobody.
+        let key = self.workspace.and(incoming.head.fields.text(names.key));
+        let key = key.map(|key| (names.key, key));
+        let added: Vec<(&str, &str)> = added.chain(key).collect();
         let head = forwarded_head(
             &incoming.head,
             names,
@@ -184,6 +213,15 @@
         }
     }
 
+    /// Returns what this VM decided for the request.
+    fn ruling(&self) -> Ruling {
+        Ruling {
+            version: self.config.version,
+            service: agreement::service(self.service),
+            terms: agreement::terms(self.route, self.workspace),
+        }
+    }
+
     fn log_first_relay(&self, vm: SocketAddr) {
         if self.state.relays_logged.replace(true) {
             return;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use fleet::{Config, Route, Workspace};
+use steer::agreement;
 use steer::placement::hash;
 
 use crate::caller::Incoming;
 use crate::dispatch::{Attempts, Dispatch, Origin, fingerprint};
 use crate::head::Request;
 use crate::quota;
-use crate::relay::headers::{self, Asked};
+use crate::relay::headers::Asked;
+use crate::relay::{self, headers};
 use crate::request_log::RequestLog;
 use crate::response::{Refusal, Reply};
 use crate::state::State;
@@ -20,7 +22,7 @@
 pub async fn answer(state: &Rc<State>, incoming: Incoming, origin: Origin) -> Reply {
     let mut log = RequestLog::new(state, &incoming);
     let asked = match origin {
-        Origin::Vm => Asked::of(&incoming.head).config,
+        Origin::Vm => headers::version(&incoming.head.fields),
         Origin::Caller => None,
     };
     log.asked_config = asked.unwrap_or_default();
@@ -53,20 +55,39 @@
     origin: Origin,
     log: &mut RequestLog<'_>,
 ) -> Result<Response, Refusal> {
+    if origin == Origin::Vm {
+        relay::agree(state, &incoming.head).await?;
+    }
     let config = state.config().ok_or(Refusal::Starting)?;
+    let version = config.version;
+    let outcome = run_by(state, incoming, origin, config, log).await;
+    let later = state.config().filter(|later| later.version > version);
+    match (&outcome, later) {
+        // The VM learned of a later version when it passed the request on.
+        (Err(Refusal::NoServer(_)), Some(later)) => {
+            run_by(state, incoming, origin, later, log).await
+        }
+        _ => outcome,
+    }
+}
+
+/// Processes a request by `config`.
+async fn run_by(
+    state: &Rc<State>,
+    incoming: &Incoming,
+    origin: Origin,
+    config: Rc<Config>,
+    log: &mut RequestLog<'_>,
+) -> Result<Response, Refusal> {
     let routing = Rc::clone(&config);
-    let route = route(&routing, &incoming.head)?;
-    let workspace = if route.public || !config.has_workspaces {
-        None
-    } else {
-        Some(workspace(state, &routing, origin, &incoming.head)?)
-    };
+    let (route, workspace) = decide(state, &routing, origin, &incoming.head)?;
     log.route = Some(route.name.clone());
     if let Some(workspace) = workspace {
+        let is_admitted = log.workspace == workspace.name;
         workspace.name.clone_into(&mut log.workspace);
-    }
-    if let Some(workspace) = workspace.filter(|_| origin == Origin::Caller) {
-        quota::admit(state, workspace).await?;
+        if origin == Origin::Caller && !is_admitted {
+            quota::admit(state, workspace).await?;
+        }
     }
     let deadline = incoming.since + time_limit(state, route, &incoming.head);
     if !state.can_finish(deadline) {
@@ -76,10 +97,12 @@
         return Err(Refusal::Quarantined);
     }
     let object = object(state, incoming);
-    let service = service(state, route, object);
+    let service = asked_service(origin, route, &incoming.head)
+        .unwrap_or_else(|| choose_service(state, route, object));
+    let is_counted = !log.service.is_empty();
     service.clone_into(&mut log.service);
     // The VM that the caller asked has counted a relayed request.
-    if origin == Origin::Caller {
+    if origin == Origin::Caller && !is_counted {
         state.note_request(service);
     }
     let mut dispatch = Dispatch {
@@ -107,6 +130,25 @@
     outcome
 }
 
+/// Returns the route of a request and its workspace, which is absent on open routes.
+///
+/// # Errors
+///
+/// Fails if `config` does not allow the request.
+pub fn decide<'a>(
+    state: &State,
+    config: &'a Config,
+    origin: Origin,
+    head: &Request,
+) -> Result<(&'a Route, Option<&'a Workspace>), Refusal> {
+    let route = route(config, head)?;
+    if route.public || !config.has_workspaces {
+        return Ok((route, None));
+    }
+    let workspace = workspace(state, config, origin, head)?;
+    Ok((route, Some(workspace)))
+}
+
 fn route<'a>(config: &'a Config, head: &Request) -> Result<&'a Route, Refusal> {
     let host = head.fields.text("host").ok_or(Refusal::Malformed)?;
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
@@ -144,13 +186,16 @@
     Ok(workspace)
 }
 
-/// Returns the workspace that another VM names. The VM that checked the key may have another
-/// configuration.
+/// Returns the workspace of a request that another VM passes on: that of the key, which may have been
+/// withdrawn since the other VM checked it. VMs of older versions name only the workspace.
 fn relayed_workspace<'a>(
     state: &State,
     config: &'a Config,
     head: &Request,
 ) -> Result<&'a Workspace, Refusal> {
+    if head.fields.get(state.names.key).is_some() {
+        return workspace_of_key(state, config, head);
+    }
     let name = head.fields.text(state.names.workspace);
     let mut workspaces = config.keys.values();
     let named = workspaces.find(|workspace| Some(workspace.name.as_str()) == name);
@@ -164,7 +209,15 @@
     hash(named.unwrap_or(&incoming.head.target))
 }
 
-fn service<'a>(state: &State, route: &'a Route, object: u64) -> &'a str {
+/// Returns the service that the VM which passes the request on has chosen.
+fn asked_service<'a>(origin: Origin, route: &'a Route, head: &Request) -> Option<&'a str> {
+    let ruling = Asked::of(head).ruling.filter(|_| origin == Origin::Vm)?;
+    let mut targets = route.targets.iter();
+    let asked = targets.find(|target| agreement::service(&target.service) == ruling.service)?;
+    Some(&asked.service)
+}
+
+fn choose_service<'a>(state: &State, route: &'a Route, object: u64) -> &'a str {
     if let [only] = &route.targets[..] {
         return &only.service;
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::ask::Asks;
+use crate::catch_up::CatchUp;
 use crate::leaving::Leaving;
 use crate::memory::{Pool, ResponseSizes};
 use crate::metrics::Metrics;
@@ -102,6 +103,8 @@
     pub(crate) fleet_report: RefCell<Report>,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) roster: RefCell<Roster>,
+    /// Requests that wait for the state of another VM.
+    pub(crate) catch_up: CatchUp,
     /// Keys as the store has them, for entry VMs that do not read the store.
     pub(crate) replica: RefCell<Replica>,
     /// Announced VMs of this zone, as the store has them.
@@ -198,6 +201,7 @@
             metrics: Metrics::default(),
             config: RefCell::default(),
             roster: RefCell::default(),
+            catch_up: CatchUp::default(),
             replica: RefCell::default(),
             announced: RefCell::default(),
             announcement_due: Notify::new(),
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -274,7 +274,9 @@
                 }
                 Ordering::Equal => {
                     self.note_reachable();
-                    if !has_learned || listing.revision > self.state.revision() {
+                    let order = listing.revision.cmp(&self.state.revision());
+                    // Another VM's state may have come meanwhile.
+                    if order == Ordering::Greater || (order == Ordering::Equal && !has_learned) {
                         replace(self.state, store, listing.items, listing.revision);
                         self.state.set_revision(listing.revision, reading(sent_at));
                     }
@@ -294,8 +296,11 @@
             Ordering::Equal => {}
         }
         self.note_reachable();
-        apply(self.state, store, batch.events);
-        self.state.set_revision(batch.revision, reading(sent_at));
+        // Another VM's state may have come meanwhile.
+        if batch.revision >= self.state.revision() {
+            apply(self.state, store, batch.events);
+            self.state.set_revision(batch.revision, reading(sent_at));
+        }
         expire_missing(self.state, store);
         Ok(())
     }
@@ -363,20 +368,33 @@
             addrs.extend(self.state.settings.seeds.iter().copied());
         }
         for addr in addrs.into_iter().take(MAX_FETCHES) {
-            let sent_at = Instant::now();
-            match snapshot::fetch(addr, self.state.position(), PEER_TIMEOUT).await {
-                Ok(fetched) if is_newer(self.state, &fetched) => {
-                    apply_snapshot(self.state, store, fetched, sent_at);
-                    self.is_listed = true;
-                    return;
-                }
-                Ok(_) => {}
-                Err(error) => event::emit(&Event::NeighbourUnreachable { addr, error }),
+            if fetch_from(self.state, store, addr, PEER_TIMEOUT).await {
+                self.is_listed = true;
+                return;
             }
         }
     }
 }
 
+/// Takes over the state of the VM whose state service is at `addr` if it is later than the known one and
+/// arrives within `limit`; returns whether it did.
+pub async fn fetch_from<S: Store>(
+    state: &State,
+    store: &S,
+    addr: SocketAddr,
+    limit: Duration,
+) -> bool {
+    let sent_at = Instant::now();
+    match snapshot::fetch(addr, state.position(), limit).await {
+        Ok(fetched) if is_newer(state, &fetched) => apply_snapshot(state, store, fetched, sent_at),
+        Ok(_) => false,
+        Err(error) => {
+            event::emit(&Event::NeighbourUnreachable { addr, error });
+            false
+        }
+    }
+}
+
 /// Returns the reading of a query that was sent at `sent_at` and is answered now.
 fn reading(sent_at: Instant) -> Reading {
     Reading {
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -126,6 +126,22 @@
         Some(peer.announcement.peer)
     }
 
+    /// Returns the address of the state service of the VM whose name has the given hash.
+    #[must_use]
+    pub fn state_addr(&self, hash: u64) -> Option<SocketAddr> {
+        let mut peers = self.peers.values();
+        let peer = peers.find(|peer| peer.hash == hash)?;
+        peer.announcement.state
+    }
+
+    /// Returns the address of the state service of the VM with the address `peer` for messages.
+    #[must_use]
+    pub fn state_addr_of(&self, peer: SocketAddr) -> Option<SocketAddr> {
+        let mut announcements = self.peers.values().map(|known| &known.announcement);
+        let announcement = announcements.find(|known| known.peer == peer)?;
+        announcement.state
+    }
+
     /// Applies the announced VMs of `zone`, in place of those announced before.
     pub fn announce_zone(&mut self, zone: &str, vms: Vec<Announced>, now: Instant) {
         for peer in self.peers.values_mut() {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -4,6 +4,7 @@
 //! arguments, so that tests can reproduce the pattern.
 
 pub mod admission;
+pub mod agreement;
 pub mod budget;
 pub mod idle;
 pub mod load;
