Pass requests on only through VMs that say that they reach the service

What callers saw: where a whole zone lost its links to the servers, half of the requests at its VMs were refused, to the end of the cut.

No VM knew which others reach servers, so each second the VMs of the own zone were found out anew by callers' requests: the more, the larger the zone and the fewer the requests of a service.

Requests go to VMs that said so within 1.5 s, nearest first, at random among equals; none waits over 180 ms for an answer, and a service that nobody reaches is refused at once. A VM whose servers in several zones are silent passes requests on before it tries more of them. VMs that don't answer (older builds) are asked last, and only after their state service named a state with the configuration in force.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::outstanding::Room;
 use crate::quarantine;
 use crate::reach;
+use crate::relay::Relayed;
 use crate::relay::headers::Asked;
 use crate::request_log::attempt_of;
 use crate::response::{Refusal, forwarded_head};
@@ -133,6 +134,13 @@
     ///
     /// Fails with the refusal that the caller gets.
     pub async fn run(&mut self) -> Result<Response, Refusal> {
+        if self.is_cut_off() {
+            match self.relay().await {
+                Relayed::Ended(outcome) => return outcome,
+                Relayed::Outdated => return Err(refusal(Reason::NoServer)),
+                Relayed::NoHelp => {}
+            }
+        }
         loop {
             match self.step().await {
                 Ok(Step::Done(response)) => return Ok(response),
@@ -148,11 +156,20 @@
             return Ok(response);
         }
         if matches!(refusal, Refusal::NoServer(_)) && self.should_relay() {
-            return self.relay().await.unwrap_or(Err(refusal));
+            return match self.relay().await {
+                Relayed::Ended(outcome) => outcome,
+                Relayed::Outdated | Relayed::NoHelp => Err(refusal),
+            };
         }
         Err(refusal)
     }
 
+    /// Returns whether this VM probably reaches no server at all, so that trying some only takes time.
+    fn is_cut_off(&self) -> bool {
+        let zones = self.state.settings.zones.len();
+        self.origin == Origin::Caller && self.state.partition.borrow().is_partitioned(zones)
+    }
+
     /// Returns whether another VM may reach a server for the request: this one failed to reach those that
     /// it chose, or knows that it reaches none of those that may run it.
     fn should_relay(&self) -> bool {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -14,6 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::pressure;
+use crate::relay::scout;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -71,6 +72,7 @@
     let socket = state.peer_socket.get_or_init(|| bound);
     spawn_local(ask_seeds(Rc::clone(&state)));
     spawn_local(pressure::run(Rc::clone(&state)));
+    spawn_local(scout::run(Rc::clone(&state)));
     let mut ticks = interval(MESSAGE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_BYTES];
@@ -120,6 +122,8 @@
             membership.note_introduced(introduction.vms, Instant::now());
         }
         Ok(Datagram::Load(report)) => state.note_load_report(&report, Instant::now()),
+        Ok(Datagram::ReachQuery(query)) => state.answer_reach(query, from).await,
+        Ok(Datagram::ReachAnswer(answer)) => state.note_reach_answer(answer),
         Err(_) => state.metrics.note_bad_message(),
     }
 }
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -35,7 +35,7 @@
         }
         match item {
             Item::Other => return,
-            Item::Config(config) => self.apply_config(*config),
+            Item::Config(config) => self.apply_config(*config, record.revision),
             Item::Server { id, registration } => is_heartbeat = self.register(&id, registration),
             Item::ServerRemoved { id } => self.unregister(&id),
             Item::ZoneEvacuated { zone } => self.evacuate(&zone, true),
@@ -123,10 +123,13 @@
         }
     }
 
-    fn apply_config(&self, config: Config) {
+    /// Puts a configuration that was written in `revision` in force, unless it is older than the known one.
+    fn apply_config(&self, config: Config, revision: u64) {
         if self.config.borrow().is_some() && config.version <= self.version() {
             return;
         }
+        let era = self.position().era;
+        self.config_position.set(Position { era, revision });
         let config = Rc::new(config);
         self.config.replace(Some(Rc::clone(&config)));
         self.admission.borrow_mut().configure(&config);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,19 +4,12 @@
 //! The VM at which the caller asked has checked the key and the rate; the other VM only chooses the server.
 //! It passes no request on again, so there are no loops.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use event::Event;
-use fleet::config::may_run_in;
-use rand::Rng as _;
-use steer::agreement::{self, Ruling};
-use steer::placement::Distance;
-
 use fleet::Version;
+use steer::agreement::{self, Ruling};
 
 use crate::dispatch::Dispatch;
 use crate::head::Fields;
@@ -26,36 +19,25 @@
 use crate::state::State;
 use crate::upstream::{self, Outcome, Outgoing, Response};
 
+mod choice;
 pub mod headers;
 mod relayed;
+pub mod scout;
 
+pub use choice::{Confirmed, Resting};
 pub use relayed::agree;
 
+use choice::Helper;
 use headers::Asked;
 
 /// Maximum number of VMs that a request is passed on to.
 const MAX_VMS: usize = 3;
 
-/// Time for which a VM that could not help is not asked again for the same service.
-const REST: Duration = Duration::from_secs(1);
-
-/// VMs that could not help with a service, and until when they are not asked.
-#[derive(Debug, Default)]
-pub struct Resting(RefCell<HashMap<(SocketAddr, String), Instant>>);
-
-impl Resting {
-    fn contains(&self, vm: SocketAddr, service: &str, now: Instant) -> bool {
-        let resting = self.0.borrow();
-        let until = resting.get(&(vm, service.to_owned()));
-        until.is_some_and(|until| now < *until)
-    }
+/// Reason in logs: no connection to the VM.
+const UNREACHABLE: &str = "unreachable";
 
-    fn insert(&self, vm: SocketAddr, service: &str, now: Instant) {
-        let mut resting = self.0.borrow_mut();
-        resting.retain(|_, until| now < *until);
-        resting.insert((vm, service.to_owned()), now + REST);
-    }
-}
+/// Reason in logs: the VM may know an older configuration only.
+const NOT_UP_TO_DATE: &str = "not-up-to-date";
 
 /// What followed from passing a request on to a VM.
 enum Step {
@@ -67,120 +49,118 @@
     Outdated,
 }
 
+/// Result of passing a request on.
+#[derive(Debug)]
+pub enum Relayed {
+    /// The outcome for the caller.
+    Ended(Result<Response, Refusal>),
+    /// No VM could help; the request has not run.
+    NoHelp,
+    /// The request has not run, and this VM has a later configuration now.
+    Outdated,
+}
+
 impl Dispatch<'_> {
-    /// Passes the request on through another VM; returns `None` if no VM can help.
-    pub async fn relay(&mut self) -> Option<Result<Response, Refusal>> {
+    /// Passes the request on through another VM.
+    pub async fn relay(&mut self) -> Relayed {
         let sent = self.attempts.counts.sent();
         let left = self.max_sent().saturating_sub(sent);
         if left == 0 || (sent > 0 && !self.state.take_retry(self.service)) {
-            return None;
+            return Relayed::NoHelp;
         }
-        for vm in self.relays().into_iter().take(MAX_VMS) {
-            match self.relay_through(vm, left).await {
+        for helper in self.helpers().await.into_iter().take(MAX_VMS) {
+            if !self.state.is_up_to_date(&helper).await {
+                self.log_refused(&helper, Version::default(), NOT_UP_TO_DATE);
+                self.let_rest(&helper, NOT_UP_TO_DATE);
+                continue;
+            }
+            match self.relay_through(&helper, left).await {
                 Step::Done(outcome) => {
-                    self.log_first_relay(vm);
-                    return Some(outcome);
-                }
-                Step::Outdated => return None,
-                Step::Next => {
-                    let resting = &self.state.resting_relays;
-                    resting.insert(vm, self.service, Instant::now());
+                    self.log_first_relay(&helper);
+                    return Relayed::Ended(outcome);
                 }
+                Step::Outdated => return Relayed::Outdated,
+                Step::Next => {}
             }
         }
-        None
+        Relayed::NoHelp
     }
 
-    async fn relay_through(&mut self, vm: SocketAddr, left: u32) -> Step {
+    async fn relay_through(&mut self, helper: &Helper, left: u32) -> Step {
         let request = self.relayed(left);
         let names = &self.state.names;
         let memory = self.state.body_memory.reservation();
-        match upstream::send_once(vm, &request, names, memory, self.deadline).await {
+        match upstream::send_once(helper.addr, &request, names, memory, self.deadline).await {
             Outcome::Answered(mut response) => {
                 let version = headers::version(&response.head.fields).unwrap_or_default();
                 response.head.fields.take(headers::CONFIG);
                 match response.head.fields.take(headers::REFUSED) {
                     Some(reason) => {
                         let reason = String::from_utf8_lossy(&reason).into_owned();
-                        self.note_no_help(vm, version, &reason);
+                        self.log_refused(helper, version, &reason);
                         if is_local(reason.as_bytes()) {
-                            return self.after_no_help(vm, version).await;
+                            return self.after_refusal(helper, version, &reason).await;
                         }
                     }
                     None => self.state.metrics.note_relay("answered"),
                 }
-                self.via = Some((vm, version));
+                self.via = Some((helper.addr, version));
                 Step::Done(Ok(response))
             }
             Outcome::Unreachable(_) => {
-                self.note_no_help(vm, Version::default(), "unreachable");
+                self.log_refused(helper, Version::default(), UNREACHABLE);
+                self.let_rest(helper, UNREACHABLE);
                 Step::Next
             }
             Outcome::ConnectionLost(_) | Outcome::NoMemory => {
-                self.note_no_help(vm, Version::default(), Refusal::AnswerLost.name());
+                self.log_refused(helper, Version::default(), Refusal::AnswerLost.name());
                 Step::Done(Err(Refusal::AnswerLost))
             }
             Outcome::TimedOut => {
-                self.note_no_help(vm, Version::default(), Refusal::TimedOut.name());
+                self.log_refused(helper, Version::default(), Refusal::TimedOut.name());
                 Step::Done(Err(Refusal::TimedOut))
             }
         }
     }
 
-    /// Takes over the later configuration of `vm`, if that is why it could not help.
-    async fn after_no_help(&mut self, vm: SocketAddr, version: Version) -> Step {
-        if version <= self.config.version {
-            return Step::Next;
+    /// Takes over the configuration of `helper` if it is later, which may be why it could not help.
+    async fn after_refusal(&self, helper: &Helper, version: Version, reason: &str) -> Step {
+        let later = helper.state.filter(|_| version > self.config.version);
+        if let Some(state) = later
+            && self.state.catch_up(state, version).await
+        {
+            return Step::Outdated;
         }
-        let state = self.state.membership.borrow().state_addr_of(vm);
-        let Some(state) = state else {
-            return Step::Next;
-        };
-        if self.state.catch_up(state, version).await {
-            Step::Outdated
+        self.let_rest(helper, reason);
+        Step::Next
+    }
+
+    /// Lets `helper`, which could not help, rest: for this service if it reaches no server of it, for all
+    /// if the reason concerns the whole VM.
+    fn let_rest(&self, helper: &Helper, reason: &str) {
+        let is_of_service = reason == Refusal::NoServer(Duration::ZERO).name();
+        let service = if is_of_service {
+            self.service
         } else {
-            Step::Next
-        }
+            Resting::ALL
+        };
+        let resting = &self.state.resting_relays;
+        resting.insert(helper.name, service, Instant::now());
     }
 
-    /// Counts and logs that `vm` did not answer the request.
-    fn note_no_help(&self, vm: SocketAddr, version: Version, reason: &str) {
+    /// Counts and logs that `helper` did not serve the request.
+    fn log_refused(&self, helper: &Helper, version: Version, reason: &str) {
         self.state.metrics.note_relay(reason_label(reason));
         event::emit(&Event::RelayRefused {
             request: attempt_of(self.state, &self.incoming.head),
             service: self.service.to_owned(),
-            vm,
+            vm: helper.addr,
             reason: reason.to_owned(),
             config: self.config.version.0,
             vm_config: version.0,
         });
     }
 
-    /// Returns the addresses of the VMs that may pass the request on, nearest first. The body of a
-    /// request with home regions goes to no VM elsewhere.
-    fn relays(&self) -> Vec<SocketAddr> {
-        let now = Instant::now();
-        let homes = self.workspace.map_or(&[][..], |own| &own.home_regions);
-        let membership = self.state.membership.borrow();
-        let ready = membership.ready(&self.state.fleet_report.borrow());
-        let mut vms: Vec<(Distance, u32, SocketAddr)> = ready
-            .into_iter()
-            .filter(|(_, vm)| {
-                let region = self.state.region_of(&vm.zone);
-                may_run_in(region, &self.route.home_regions, homes)
-            })
-            .map(|(_, vm)| {
-                let distance = self.state.distance_to(&vm.zone);
-                (distance, rand::rng().random(), vm.peer)
-            })
-            .collect();
-        vms.sort_unstable();
-        let resting = &self.state.resting_relays;
-        let vms = vms.into_iter().map(|(_, _, vm)| vm);
-        vms.filter(|vm| !resting.contains(*vm, self.service, now))
-            .collect()
-    }
-
     fn relayed(&self, left: u32) -> Outgoing {
         let incoming = self.incoming;
         let remaining = self.deadline.saturating_duration_since(Instant::now());
@@ -222,14 +202,14 @@
         }
     }
 
-    fn log_first_relay(&self, vm: SocketAddr) {
+    fn log_first_relay(&self, helper: &Helper) {
         if self.state.relays_logged.replace(true) {
             return;
         }
         event::emit(&Event::RelayBegan {
             request: attempt_of(self.state, &self.incoming.head),
             service: self.service.to_owned(),
-            vm,
+            vm: helper.addr,
         });
     }
 }
@@ -237,7 +217,7 @@
 /// Returns the metric's label of the reason that another VM gave.
 fn reason_label(reason: &str) -> &'static str {
     let known = Refusal::ALL.into_iter().map(Refusal::name);
-    let mut known = known.chain(["unreachable"]);
+    let mut known = known.chain([UNREACHABLE, NOT_UP_TO_DATE]);
     known.find(|known| *known == reason).unwrap_or("unknown")
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -31,7 +31,8 @@
 use crate::peers;
 use crate::pressure::Sharing;
 use crate::quarantine::Quarantine;
-use crate::relay::Resting;
+use crate::relay::scout::Scout;
+use crate::relay::{Confirmed, Resting};
 use crate::replica::Replica;
 use crate::servers::Servers;
 use crate::settings::{Bounds, Settings};
@@ -93,8 +94,12 @@
     pub(crate) partition: RefCell<Detector>,
     /// When all servers were last probed because this VM seemed to be partitioned.
     pub(crate) swept_at: Cell<Option<Instant>>,
+    /// The search for VMs that reach the servers which this VM does not reach.
+    pub(crate) scout: Scout,
     /// VMs through which requests cannot be passed on for now.
     pub(crate) resting_relays: Resting,
+    /// Which states of the store VMs of older versions know.
+    pub(crate) confirmed: Confirmed,
     /// Whether requests are being passed on through other VMs, as last logged.
     pub(crate) relays_logged: Cell<bool>,
     /// Metrics.
@@ -102,6 +107,8 @@
     /// Reports about the fleet, including this VM's.
     pub(crate) fleet_report: RefCell<Report>,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
+    /// State of the store in which the configuration in force was written.
+    pub(crate) config_position: Cell<Position>,
     pub(crate) roster: RefCell<Roster>,
     /// Requests that wait for the state of another VM.
     pub(crate) catch_up: CatchUp,
@@ -196,10 +203,13 @@
             leaving: Leaving::default(),
             partition: RefCell::default(),
             swept_at: Cell::new(None),
+            scout: Scout::default(),
             resting_relays: Resting::default(),
+            confirmed: Confirmed::default(),
             relays_logged: Cell::new(false),
             metrics: Metrics::default(),
             config: RefCell::default(),
+            config_position: Cell::default(),
             roster: RefCell::default(),
             catch_up: CatchUp::default(),
             replica: RefCell::default(),
@@ -234,6 +244,12 @@
             .unwrap_or_default()
     }
 
+    /// Returns the state of the store in which the configuration in force was written.
+    #[must_use]
+    pub fn config_position(&self) -> Position {
+        self.config_position.get()
+    }
+
     /// Returns the fleet's bounds in force.
     #[must_use]
     pub fn bounds(&self) -> Bounds {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod item;
 pub mod membership;
 pub mod pressure;
+pub mod reach;
 pub mod report;
 pub mod restore;
 pub mod roster;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -121,25 +121,21 @@
     /// Returns the address for messages of the VM whose name has the given hash.
     #[must_use]
     pub fn peer_addr(&self, hash: u64) -> Option<SocketAddr> {
-        let mut peers = self.peers.values();
-        let peer = peers.find(|peer| peer.hash == hash)?;
-        Some(peer.announcement.peer)
+        Some(self.announcement(hash)?.peer)
     }
 
     /// Returns the address of the state service of the VM whose name has the given hash.
     #[must_use]
     pub fn state_addr(&self, hash: u64) -> Option<SocketAddr> {
-        let mut peers = self.peers.values();
-        let peer = peers.find(|peer| peer.hash == hash)?;
-        peer.announcement.state
+        self.announcement(hash)?.state
     }
 
-    /// Returns the address of the state service of the VM with the address `peer` for messages.
+    /// Returns the announcement of the VM whose name has the given hash.
     #[must_use]
-    pub fn state_addr_of(&self, peer: SocketAddr) -> Option<SocketAddr> {
-        let mut announcements = self.peers.values().map(|known| &known.announcement);
-        let announcement = announcements.find(|known| known.peer == peer)?;
-        announcement.state
+    pub fn announcement(&self, hash: u64) -> Option<&Announcement> {
+        let mut peers = self.peers.values();
+        let peer = peers.find(|peer| peer.hash == hash)?;
+        Some(&peer.announcement)
     }
 
     /// Applies the announced VMs of `zone`, in place of those announced before.
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -7,6 +7,7 @@
 
 use crate::ask::{Answer, Ask};
 use crate::pressure::LoadReport;
+use crate::reach;
 
 /// Addresses of an entry VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -164,6 +165,10 @@
     Introduction(Introduction),
     /// Load of backend servers.
     Load(LoadReport),
+    /// Which services' servers does the receiver reach?
+    ReachQuery(reach::Query),
+    /// Answer to it.
+    ReachAnswer(reach::Answer),
 }
 
 /// A report that one entry VM sends another.
@@ -192,6 +197,8 @@
             Self::Hello(_) => "hello",
             Self::Introduction(_) => "introduction",
             Self::Load(report) => report.kind(),
+            Self::ReachQuery(_) => "reach-query",
+            Self::ReachAnswer(_) => "reach-answer",
         }
     }
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod agreement;
 pub mod budget;
+pub mod helpers;
 pub mod idle;
 pub mod load;
 pub mod mean;
