Do not wait for answers that VMs of the previous build never give

Cause: beside VMs that know no question about reach, each request that is passed on waited 180 ms for an answer. Change: when no VM has answered for that long, the others are asked at once, as those that don't answer.

--- a/crates/entry/src/relay/scout.rs
+++ b/crates/entry/src/relay/scout.rs
@@ -8,7 +8,7 @@
 
 use fleet::reach::{Answer, Query};
 use fleet::report::Datagram;
-use steer::helpers::{Helpers, Vm};
+use steer::helpers::{ANSWER_TIME, Helpers, Vm};
 use steer::placement::hash;
 use tokio::sync::Notify;
 use tokio::time::{timeout, timeout_at};
@@ -22,9 +22,6 @@
 /// The same while no VM is known that reaches one of the services: a round trip to another region.
 const FIRST_INTERVAL: Duration = Duration::from_millis(60);
 
-/// Time for which a request waits until a VM is known that reaches its service.
-const WAIT: Duration = Duration::from_millis(180);
-
 /// Time after the last request that needed a service for which is asked on.
 const MEMORY: Duration = Duration::from_secs(2);
 
@@ -67,7 +64,7 @@
     /// none is known yet.
     pub(super) async fn find_helpers(&self, service: &str) -> Vec<u64> {
         let service = peers::short_hash(service);
-        let until = Instant::now() + WAIT;
+        let until = Instant::now() + ANSWER_TIME;
         loop {
             let heard = self.scout.has_heard.notified();
             self.scout.want(service, Instant::now());
@@ -86,7 +83,9 @@
         let vms = self.possible_helpers();
         let helpers = self.scout.helpers.borrow();
         let known = helpers.of(service, &vms, &mut rand::rng(), now);
-        let is_certain = !known.is_empty() || helpers.is_reached_by_nobody(service, &vms, now);
+        let is_certain = !known.is_empty()
+            || helpers.is_reached_by_nobody(service, &vms, now)
+            || helpers.is_unanswered(now);
         (is_certain || vms.is_empty()).then_some(known)
     }
 
--- a/crates/steer/src/helpers.rs
+++ b/crates/steer/src/helpers.rs
@@ -18,6 +18,9 @@
 /// Time for which an answer holds.
 pub const VALIDITY: Duration = Duration::from_millis(1_500);
 
+/// Time within which an answer from another region arrives.
+pub const ANSWER_TIME: Duration = Duration::from_millis(180);
+
 /// Number of VMs asked at a time.
 pub const SAMPLE: usize = 8;
 
@@ -52,6 +55,8 @@
     answers: HashMap<u64, Answer>,
     /// When each VM was last asked.
     asked: HashMap<u64, Instant>,
+    /// Since when questions have been asked without any answer.
+    unanswered_since: Option<Instant>,
 }
 
 impl Helpers {
@@ -64,6 +69,7 @@
     ) {
         let services = services.into_iter().collect();
         self.answers.insert(vm, Answer { at: now, services });
+        self.unanswered_since = None;
     }
 
     /// Returns whether `vm` has answered a question.
@@ -108,6 +114,13 @@
         needed > 0 && said.len() >= needed && !said.contains(&true)
     }
 
+    /// Returns whether no VM has answered for longer than an answer takes.
+    #[must_use]
+    pub fn is_unanswered(&self, now: Instant) -> bool {
+        let since = self.unanswered_since;
+        since.is_some_and(|since| now.duration_since(since) >= ANSWER_TIME)
+    }
+
     /// Returns those of `vms` that were asked and have not answered any question: they are of a version
     /// that knows none, or dead. Nearest first.
     #[must_use]
@@ -153,6 +166,9 @@
             let next: Vec<u64> = next.take(SAMPLE - sample.len()).collect();
             sample.extend(next);
         }
+        if !sample.is_empty() {
+            self.unanswered_since.get_or_insert(now);
+        }
         self.asked.extend(sample.iter().map(|vm| (*vm, now)));
         sample
     }
--- a/crates/steer/tests/helpers.rs
+++ b/crates/steer/tests/helpers.rs
@@ -7,7 +7,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
-use steer::helpers::{Helpers, SAMPLE, VALIDITY, Vm};
+use steer::helpers::{ANSWER_TIME, Helpers, SAMPLE, VALIDITY, Vm};
 use steer::placement::Distance;
 
 const SERVICE: u32 = 7;
@@ -148,6 +148,7 @@
     helpers.sample(&[SERVICE], &fleet.vms, &mut rng, now);
     helpers.note_answer(2, [(SERVICE, true)], now);
     assert_eq!(helpers.silent(&fleet.vms, now), [1]);
+    assert!(!helpers.is_unanswered(now + VALIDITY));
 }
 
 /// One step of a random history.
@@ -236,3 +237,13 @@
         assert!(is_found(planted), "planted fault {index}");
     }
 }
+
+/// Beside VMs of older builds, each request waited for answers that never came.
+#[test]
+fn questions_that_nobody_answers_are_not_waited_for_again() {
+    let fleet = Fleet::new(3, |_| 0, |_| true);
+    let (mut helpers, mut rng, now) = (Helpers::default(), rng(), Instant::now());
+    helpers.sample(&[SERVICE], &fleet.vms, &mut rng, now);
+    assert!(!helpers.is_unanswered(now));
+    assert!(helpers.is_unanswered(now + ANSWER_TIME));
+}
