Ask VMs of the previous build that could not help only every 5 s

Cause: such VMs answer no questions about reach, so only their refusals tell anything; after one second they were asked anew, nearest first, and a zone cut off with several of them refused requests each second. Change: they rest 5 s.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -139,13 +139,8 @@
     /// if the reason concerns the whole VM.
     fn let_rest(&self, helper: &Helper, reason: &str) {
         let is_of_service = reason == Refusal::NoServer(Duration::ZERO).name();
-        let service = if is_of_service {
-            self.service
-        } else {
-            Resting::ALL
-        };
-        let resting = &self.state.resting_relays;
-        resting.insert(helper.name, service, Instant::now());
+        let service = is_of_service.then_some(self.service);
+        self.state.let_rest(helper, service);
     }
 
     /// Counts and logs that `helper` did not serve the request.
--- a/crates/entry/src/relay/choice.rs
+++ b/crates/entry/src/relay/choice.rs
@@ -15,6 +15,9 @@
 /// Time for which a VM that could not help is not asked again.
 const REST: Duration = Duration::from_secs(1);
 
+/// The same for a VM that answers no questions: its refusals are all that is known of it.
+const SILENT_REST: Duration = Duration::from_secs(5);
+
 /// Time within which a VM of an older version tells which state of the store it knows.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -44,13 +47,13 @@
     }
 
     /// In place of a service: the VM could not help with any.
-    pub const ALL: &str = "";
+    const ALL: &str = "";
 
     /// Records that the VM could not help with `service`.
-    pub fn insert(&self, vm: u64, service: &str, now: Instant) {
+    fn insert(&self, vm: u64, service: &str, until: Instant, now: Instant) {
         let mut resting = self.0.borrow_mut();
         resting.retain(|_, until| now < *until);
-        resting.insert((vm, service.to_owned()), now + REST);
+        resting.insert((vm, service.to_owned()), until);
     }
 }
 
@@ -93,6 +96,19 @@
 }
 
 impl State {
+    /// Does not ask `helper` for a while, for one service or for all.
+    pub(super) fn let_rest(&self, helper: &Helper, service: Option<&str>) {
+        let now = Instant::now();
+        let rest = if self.scout.has_answered(helper.name) {
+            REST
+        } else {
+            SILENT_REST
+        };
+        let service = service.unwrap_or(Resting::ALL);
+        let resting = &self.resting_relays;
+        resting.insert(helper.name, service, now + rest, now);
+    }
+
     /// Returns whether `helper` is known to have the configuration in force here, or a later one. VMs that
     /// name the version of their configuration need not be asked.
     pub(super) async fn is_up_to_date(&self, helper: &Helper) -> bool {
