Do not reuse a connection after a response that names no attempt

Reported by another operator: a server wrote an earlier refusal once more on a kept connection, and the next caller was told "not run" of a request that ran. Cause here: a failure without an attempt counts as the answer to the request that waits, and servers may refuse without naming it. Change: a connection is kept only after a response that names its attempt, so a repeat of an unnamed one finds no request; a repeat of a named one was skipped already.

--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -269,7 +269,9 @@
         }
     };
     let is_complete = !rest.has_remaining() && receiver.is_clean && receiver.buffer.is_empty();
-    let is_reusable = is_complete && response.head.is_keep_alive();
+    // If a response without an attempt came once more, it would be taken for that of the next request.
+    let is_named = response.head.fields.get(names.attempt).is_some();
+    let is_reusable = is_complete && is_named && response.head.is_keep_alive();
     Ok(Exchange {
         response,
         stream: is_reusable.then_some(stream),
