Blame no request for servers that a VM loses with its own links

Cause: the connection ends and the server can't be reached just after, which counts as a crash of the server by the request; three of these, and all VMs quarantine it. A VM whose links break loses every server so.

Change: a crash counts only if another server of the zone, or of any zone if there is none, accepts a connection at that time; servers that the same request crashed don't count as witnesses.

--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -1,16 +1,20 @@
 //! Quarantine of requests that crash the backend servers that run them.
 //!
 //! A closed connection alone is no evidence of a crash. Only if the server is unreachable right
-//! after the connection closed is the request counted as having crashed it.
+//! after the connection closed, and another one is not, is the request counted as having crashed it: a VM
+//! whose links break loses all servers, whatever they run.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use event::Event;
 use fleet::report::Crash;
+use futures::future::join_all;
 use killer::{Detector, Evidence, Fact, Fingerprint, Outcome};
+use rand::seq::IndexedRandom as _;
 use timer::Service;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -26,6 +30,9 @@
 /// other reasons while a request is retried from one on the other.
 const MAX_CRASHES: usize = 3;
 
+/// Number of other servers that are probed before a lost connection counts as a crash.
+const MAX_WITNESSES: usize = 3;
+
 /// Time for which a crash is reported to other entry VMs, in milliseconds.
 const REPORTED_MS: u64 = 30_000;
 
@@ -66,6 +73,19 @@
         }
     }
 
+    /// Returns the servers that a request is known to have crashed.
+    fn crashed_by(&self, fingerprint: &Fingerprint) -> HashSet<SocketAddr> {
+        let facts = self.detector.borrow().facts();
+        let own = facts
+            .into_iter()
+            .filter(|fact| fact.fingerprint == *fingerprint);
+        let crashed = own.filter_map(|fact| match fact.evidence {
+            Evidence::Crashed { server, .. } => Some(server),
+            Evidence::Succeeded => None,
+        });
+        crashed.collect()
+    }
+
     /// Removes expired crashes.
     pub fn expire(&self) {
         self.detector.borrow_mut().expire(self.timer.now());
@@ -121,7 +141,9 @@
     let backend = Rc::clone(backend);
     spawn_local(async move {
         sleep(PROBE_DELAY).await;
-        if reach::accepts(&state, &backend).await {
+        if reach::accepts(&state, &backend).await
+            || has_lost_others(&state, &backend, &fingerprint).await
+        {
             return;
         }
         state
@@ -134,6 +156,46 @@
     });
 }
 
+/// Returns whether this VM reaches no other server either: of the zone of `backend`, or of any zone if
+/// there is no other one. Servers that the same request crashed tell nothing.
+async fn has_lost_others(
+    state: &Rc<State>,
+    backend: &Rc<Backend>,
+    fingerprint: &Fingerprint,
+) -> bool {
+    let crashed = state.quarantine.crashed_by(fingerprint);
+    let witnesses = witnesses(state, backend, &crashed);
+    let accepts = witnesses
+        .iter()
+        .map(|witness| reach::accepts(state, witness));
+    let accepts = join_all(accepts).await;
+    !accepts.is_empty() && !accepts.contains(&true)
+}
+
+fn witnesses(
+    state: &State,
+    backend: &Rc<Backend>,
+    crashed: &HashSet<SocketAddr>,
+) -> Vec<Rc<Backend>> {
+    let servers = state.servers.borrow();
+    let is_other = |other: &&Rc<Backend>| {
+        other.takes_work() && other.addr != backend.addr && !crashed.contains(&other.addr)
+    };
+    let others: Vec<Rc<Backend>> = servers.iter().filter(is_other).cloned().collect();
+    let is_near = |other: &&Rc<Backend>| other.zone == backend.zone;
+    let near: Vec<Rc<Backend>> = others.iter().filter(is_near).cloned().collect();
+    let pool = if near.is_empty() { others } else { near };
+    let usable: Vec<Rc<Backend>> = pool
+        .iter()
+        .filter(|other| other.is_usable())
+        .cloned()
+        .collect();
+    let pool = if usable.is_empty() { pool } else { usable };
+    pool.choose_multiple(&mut rand::rng(), MAX_WITNESSES)
+        .cloned()
+        .collect()
+}
+
 /// Returns the first bytes of a fingerprint, enough to tell requests apart in a log.
 fn abbreviate(fingerprint: &Fingerprint) -> String {
     let first = fingerprint
