Probe all servers at once when a partition ends, and count the zones that have servers

Cause: after a cut each server was probed by itself, up to 1.6 s later, so a VM whose links were back still passed requests on, and could help nobody. And a VM counted as partitioned only if servers of two zones were lost, though all were in one. Change: the first server reached wakes the probes of the others, spread over 100 ms; the zones that count are those with servers.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -166,8 +166,7 @@
 
     /// Returns whether this VM probably reaches no server at all, so that trying some only takes time.
     fn is_cut_off(&self) -> bool {
-        let zones = self.state.settings.zones.len();
-        self.origin == Origin::Caller && self.state.partition.borrow().is_partitioned(zones)
+        self.origin == Origin::Caller && self.state.is_partitioned()
     }
 
     /// Returns whether another VM may reach a server for the request: this one failed to reach those that
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -6,10 +6,12 @@
 //! until a probe succeeds. A server that is reachable again may have restarted and counts as cold,
 //! unless this VM itself was partitioned.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use event::Event;
+use rand::Rng as _;
 use steer::placement::hash;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -27,6 +29,9 @@
 /// Maximum delay between two probes.
 const MAX_DELAY: Duration = Duration::from_millis(1_600);
 
+/// Longest time by which the probes after a partition are spread.
+const MAX_WAKE_SPREAD: Duration = Duration::from_millis(100);
+
 /// Minimum interval between two probes of all servers.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -41,13 +46,23 @@
 pub async fn accepts(state: &Rc<State>, backend: &Rc<Backend>) -> bool {
     let accepts = connects(backend).await;
     if accepts {
-        state.partition.borrow_mut().note_reached();
+        note_reached(state);
     } else {
         mark_unreachable(state, backend);
     }
     accepts
 }
 
+/// Records that a server accepted a connection. If none did before, the others are probably reachable
+/// again too, and are probed at once.
+fn note_reached(state: &State) {
+    let was_partitioned = state.is_partitioned();
+    state.partition.borrow_mut().note_reached();
+    if was_partitioned {
+        state.partition_ended.notify_waiters();
+    }
+}
+
 async fn connects(backend: &Backend) -> bool {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(backend.addr)).await;
     matches!(connected, Ok(Ok(_)))
@@ -85,11 +100,8 @@
 /// that no request has to find that out.
 fn sweep_if_partitioned(state: &Rc<State>) {
     let now = Instant::now();
-    let zones = state.settings.zones.len();
     let is_recent = |at: Instant| now.duration_since(at) < SWEEP_INTERVAL;
-    if !state.partition.borrow().is_partitioned(zones)
-        || state.swept_at.get().is_some_and(is_recent)
-    {
+    if !state.is_partitioned() || state.swept_at.get().is_some_and(is_recent) {
         return;
     }
     state.swept_at.set(Some(now));
@@ -104,13 +116,18 @@
     let since = Instant::now();
     let mut delay = FIRST_DELAY;
     loop {
-        sleep(delay).await;
+        if timeout(delay, state.partition_ended.notified())
+            .await
+            .is_ok()
+        {
+            sleep(MAX_WAKE_SPREAD.mul_f64(rand::rng().random())).await;
+        }
         if !backend.is_unreachable() || !backend.takes_work() {
             return;
         }
         let was_partitioned = was_partitioned(&state);
         if connects(&backend).await {
-            state.partition.borrow_mut().note_reached();
+            note_reached(&state);
             state.end_relays();
             mark_reachable(&backend, was_partitioned, since);
             return;
@@ -133,6 +150,23 @@
     });
 }
 
+impl State {
+    /// Returns whether this VM is probably partitioned from all servers.
+    #[must_use]
+    pub fn is_partitioned(&self) -> bool {
+        let partition = self.partition.borrow();
+        if !partition.has_lost_several() {
+            return false;
+        }
+        let servers = self.servers.borrow();
+        let zones: HashSet<&str> = servers
+            .iter()
+            .map(|backend| backend.zone.as_str())
+            .collect();
+        partition.is_partitioned(zones.len())
+    }
+}
+
 /// Returns whether this VM is partitioned or was so until recently.
 fn was_partitioned(state: &State) -> bool {
     let now = Instant::now();
--- a/crates/entry/src/relay/scout.rs
+++ b/crates/entry/src/relay/scout.rs
@@ -123,8 +123,7 @@
 
     /// Returns whether this VM reaches a server of the service whose name has the given hash.
     fn reaches(&self, service: u32) -> bool {
-        let zones = self.settings.zones.len();
-        if self.partition.borrow().is_partitioned(zones) {
+        if self.is_partitioned() {
             return false;
         }
         let servers = self.servers.borrow();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -92,6 +92,8 @@
     pub(crate) leaving: Leaving,
     /// Servers that were found unreachable since the latest response.
     pub(crate) partition: RefCell<Detector>,
+    /// Wakes the probes of servers that were lost in a partition of this VM.
+    pub(crate) partition_ended: Notify,
     /// When all servers were last probed because this VM seemed to be partitioned.
     pub(crate) swept_at: Cell<Option<Instant>>,
     /// The search for VMs that reach the servers which this VM does not reach.
@@ -202,6 +204,7 @@
             response_sizes: ResponseSizes::default(),
             leaving: Leaving::default(),
             partition: RefCell::default(),
+            partition_ended: Notify::new(),
             swept_at: Cell::new(None),
             scout: Scout::default(),
             resting_relays: Resting::default(),
--- a/crates/steer/src/partition.rs
+++ b/crates/steer/src/partition.rs
@@ -34,9 +34,15 @@
         self.zones.clear();
     }
 
+    /// Returns whether so many servers were lost that their zones matter.
+    #[must_use]
+    pub fn has_lost_several(&self) -> bool {
+        self.servers.len() >= MIN_SERVERS
+    }
+
     /// Returns whether the VM is probably partitioned from all servers, which are in `zones` zones.
     #[must_use]
     pub fn is_partitioned(&self, zones: usize) -> bool {
-        self.servers.len() >= MIN_SERVERS && self.zones.len() >= MIN_ZONES.min(zones)
+        self.has_lost_several() && self.zones.len() >= MIN_ZONES.min(zones)
     }
 }
