Serve idempotent requests that were lost with the links through another VM

Change: while the VM reaches no server, such a request is passed on, within attempts and retry budget. And no header that only entry VMs send each other is taken from, or passed to, callers and servers.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -155,7 +155,11 @@
         if let Some(response) = self.attempts.error_response.take() {
             return Ok(response);
         }
-        if matches!(refusal, Refusal::NoServer(_)) && self.should_relay() {
+        let is_lost_in_partition = matches!(refusal, Refusal::AnswerLost)
+            && self.route.idempotency == Idempotency::Idempotent
+            && self.is_cut_off();
+        let is_unserved = matches!(refusal, Refusal::NoServer(_)) && self.should_relay();
+        if is_unserved || is_lost_in_partition {
             return match self.relay().await {
                 Relayed::Ended(outcome) => outcome,
                 Relayed::Outdated | Relayed::NoHelp => Err(refusal),
--- a/crates/entry/src/relay/headers.rs
+++ b/crates/entry/src/relay/headers.rs
@@ -26,8 +26,15 @@
 /// Header of a response to a relayed request: the reason, if the VM itself refused the request.
 pub const REFUSED: &str = "Teaseldoor-Refused";
 
-/// Names of the headers that are not sent to backend servers, whoever set them.
-pub const ALL: [&str; 5] = [ATTEMPTS, CONFIG, SERVICE, TERMS, VM];
+/// Names of the headers of a relayed request.
+const ALL: [&str; 5] = [ATTEMPTS, CONFIG, SERVICE, TERMS, VM];
+
+/// Returns whether a header is one of those that only entry VMs send to each other.
+#[must_use]
+pub fn is_internal(name: &[u8]) -> bool {
+    let mut own = ALL.iter().chain([&REFUSED]);
+    own.any(|own| name.eq_ignore_ascii_case(own.as_bytes()))
+}
 
 /// What a relayed request says beside the caller's request.
 #[derive(Debug, Clone, Copy)]
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -9,7 +9,8 @@
 use crate::head::{self, Fields, has_token};
 use crate::memory::Reservation;
 use crate::names::Names;
-use crate::{relay, upstream};
+use crate::relay::headers::{self as relay_headers, is_internal};
+use crate::upstream;
 
 /// Time after which a request that crashed servers may be retried: the time for which crashes are
 /// reported.
@@ -216,7 +217,7 @@
         let mut reply = Self::refused(refusal);
         push_field(
             &mut reply.head,
-            relay::headers::REFUSED.as_bytes(),
+            relay_headers::REFUSED.as_bytes(),
             refusal.name().as_bytes(),
         );
         reply
@@ -238,7 +239,7 @@
         let keeps_length = is_head_request || response.status == 304;
         for (name, value) in end_to_end(&response.fields) {
             let is_length = name.eq_ignore_ascii_case(b"content-length");
-            if !is_length || keeps_length {
+            if !is_internal(name) && (!is_length || keeps_length) {
                 push_field(&mut head, name, value);
             }
         }
@@ -290,7 +291,7 @@
     let replaced = [names.key, names.workspace, names.target, names.deadline];
     for (name, value) in end_to_end(&request.fields) {
         let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
-        let is_replaced = replaced.iter().chain(&relay::headers::ALL).any(is);
+        let is_replaced = replaced.iter().any(is) || is_internal(name);
         if !is_replaced && !is(&"content-length") && !is(&"expect") {
             push_field(&mut head, name, value);
         }
