--- a/crates/fleet/tests/wire.rs
+++ b/crates/fleet/tests/wire.rs
@@ -2,6 +2,7 @@
 
 use fleet::ask::{Answer, Ask, Outcome, Subject};
 use fleet::pressure::{ENTRY_BYTES, Entry, HEADER_BYTES, LoadReport};
+use fleet::reach;
 use fleet::report::{
     Announced, Announcement, Datagram, Introduction, Member, Message, Report, Scope,
 };
@@ -139,6 +140,21 @@
     }
 }
 
+/// A VM without links asks eight VMs twice a second.
+#[test]
+fn questions_about_reach_are_small() {
+    let services = [u32::MAX; 4];
+    let query = Datagram::ReachQuery(reach::Query {
+        services: services.to_vec(),
+    });
+    let answer = Datagram::ReachAnswer(reach::Answer {
+        vm: u64::MAX,
+        services: services.map(|service| (service, true)).to_vec(),
+    });
+    assert_eq!(bytes(&query).len(), 22);
+    assert_eq!(bytes(&answer).len(), 36);
+}
+
 proptest! {
     #![proptest_config(Config {
         rng_seed: RngSeed::Fixed(17),
