--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Version(pub u64);
 
-/// A complete configuration.
+/// A complete configuration. All its times can be added to the present time.
 #[derive(Debug, Clone, Default)]
 pub struct Config {
     /// Version.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -20,7 +20,7 @@
     pub slots: u32,
     /// Whether the server accepts new requests.
     pub phase: Phase,
-    /// Remaining time for which the server is cold.
+    /// Remaining time for which the server is cold. It can be added to the present time.
     pub warmup_remaining: Duration,
     /// Sequence number of the heartbeat within the incarnation.
     pub sequence: u64,
