Let an unlimited size of heads hold for requests that VMs pass on

Cause: the size that a configuration allows plus what the passing VM may add wrapped around in a release build, so that with max_header_bytes 2^64 - 1 heads above about 1 KB were refused with 431, and in a debug build the connection ended.

Change: the sum saturates.

Measured: relayed_heads_may_be_as_large_as_callers_heads failed before and passes now.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -110,7 +110,7 @@
     let (mut reader, mut writer) = stream.split();
     let mut limits = state.limits();
     if role == Role::Relayed {
-        limits.max_head_bytes += RELAY_HEAD_BYTES;
+        limits.max_head_bytes = limits.max_head_bytes.saturating_add(RELAY_HEAD_BYTES);
     }
     let mut inbound = Inbound::new(limits, state.body_memory.clone());
     let mut replies = Replies::default();
