Refuse a body of the largest length for lack of memory

Cause: with max_body_bytes 2^64 - 1, a declared length of as many bytes wrapped the count of the memory in use while another body was held, so that the limit on bodies did not hold (in a debug build the connection ended).

Change: the sum saturates, so the request is refused before it runs.

Measured: body_of_the_largest_length_is_refused_for_lack_of_memory failed before and passes now.

--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -206,7 +206,7 @@
 
     fn grow_within(&mut self, bytes: u64, max_bytes: u64) -> bool {
         let additional = bytes.saturating_sub(self.bytes);
-        let used_bytes = self.pool.used_bytes.get() + additional;
+        let used_bytes = self.pool.used_bytes.get().saturating_add(additional);
         if additional > 0 && used_bytes > max_bytes {
             return false;
         }
