Start a task of the daemon again when it fails, and let a record cost only itself

Cause: entry::daemon starts its tasks with spawn_local and drops the handles. A panic ends the task alone. Only the end of the exchange of messages was noticed, and that ended the whole process. In the listing and in a watch, one record that cannot be applied kept all behind it from being applied, and would do so again after a restart, at every VM.

Ruled out as the answer: ending the process (the cause is in what all VMs read, so all would end again and again), and saying 503 to readiness checks (the same, and a VM without the store serves on by design).

A record whose application fails is logged as unreadable, and the others are applied. An open connection is no longer counted as open for good when its task fails.

--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -26,41 +26,67 @@
 /// Share of the sockets that other entry VMs may use for requests that they pass on, in percent.
 const RELAYS_PERCENT: usize = 15;
 
-/// Listens on `addr`.
-///
-/// # Errors
-///
-/// Fails if the address cannot be bound.
-pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(addr)?;
-    socket.listen(BACKLOG)
+/// A listening socket and its open connections.
+#[derive(Debug)]
+pub struct Listener {
+    socket: TcpListener,
+    open: Cell<usize>,
+}
+
+/// Counts a connection as open until dropped, also when its task fails.
+struct Open(Rc<Listener>);
+
+impl Open {
+    fn new(listener: &Rc<Listener>) -> Self {
+        listener.open.set(listener.open.get() + 1);
+        Self(Rc::clone(listener))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+impl Listener {
+    /// Listens on `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn bind(addr: SocketAddr) -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(addr)?;
+        Ok(Self {
+            socket: socket.listen(BACKLOG)?,
+            open: Cell::new(0),
+        })
+    }
 }
 
 /// Accepts connections until the daemon ends. Connections over the limit are closed at once.
-pub async fn run(state: Rc<State>, listener: TcpListener, role: Role) {
+pub async fn run(state: Rc<State>, listener: Rc<Listener>, role: Role) {
     let percent = match role {
         Role::Relayed => RELAYS_PERCENT,
         _ => CALLERS_PERCENT,
     };
     let max_open = state.settings.max_sockets * percent / 100;
-    let open = Rc::new(Cell::new(0));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, _)) = listener.socket.accept().await else {
             sleep(RETRY_DELAY).await;
             continue;
         };
-        if open.get() >= max_open {
+        if listener.open.get() >= max_open {
             state.metrics.note_rejected_connection();
             continue;
         }
-        open.set(open.get() + 1);
+        let open = Open::new(&listener);
         let state = Rc::clone(&state);
-        let open = Rc::clone(&open);
         spawn_local(async move {
             caller::serve(state, stream, role).await;
-            open.set(open.get() - 1);
+            drop(open);
         });
     }
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,18 +7,21 @@
 use event::Event;
 use eyre::WrapErr;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::accept;
+use crate::accept::{self, Listener};
 use crate::announce;
 use crate::caller::Role;
 use crate::catch_up;
 use crate::names::Names;
 use crate::peers;
+use crate::pressure;
+use crate::relay::scout;
 use crate::settings::Settings;
 use crate::state::State;
 use crate::store::Store;
+use crate::supervise::keep_running;
 use crate::sync;
 
 /// Percentage of the grace period after which idle connections are closed.
@@ -74,13 +77,9 @@
         let error = format!("{error:#}");
         event::emit(&Event::MetricsNotServed { error });
     }
-    let (reader, announcer) = (store.new_client(), store);
-    let decoder = reader.new_client();
-    spawn_local(catch_up::run(Rc::clone(&state), decoder));
-    spawn_local(sync::run(Rc::clone(&state), reader));
-    spawn_local(announce::run(Rc::clone(&state), announcer));
-    let peers = spawn_local(peers::run(Rc::clone(&state)));
-    tokio::pin!(peers);
+    let bound = peers::bind(&state).await;
+    bound.wrap_err("cannot exchange messages with other entry VMs")?;
+    start_tasks(&state, &store);
     let mut rereads = interval(REREAD_INTERVAL);
     rereads.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -88,9 +87,6 @@
             _ = terminate.recv() => break,
             _ = reload.recv() => reload_settings(&state, reread(), true),
             _ = rereads.tick() => reload_settings(&state, reread(), false),
-            result = &mut peers => {
-                result?.wrap_err("cannot exchange messages with other entry VMs")?;
-            }
         }
     }
     stop(&state).await;
@@ -115,11 +111,34 @@
 
 fn start(state: &Rc<State>, addr: Option<SocketAddr>, role: Role) -> eyre::Result<()> {
     let Some(addr) = addr else { return Ok(()) };
-    let listener = accept::listen(addr).wrap_err_with(|| format!("cannot listen on {addr}"))?;
-    spawn_local(accept::run(Rc::clone(state), listener, role));
+    let listener = Listener::bind(addr).wrap_err_with(|| format!("cannot listen on {addr}"))?;
+    let listener = Rc::new(listener);
+    keep_running(state, "accept", move |state| {
+        accept::run(state, Rc::clone(&listener), role)
+    });
     Ok(())
 }
 
+/// Starts the tasks that keep the state up to date and exchange it with other entry VMs.
+fn start_tasks<S: Store + 'static>(state: &Rc<State>, store: &S) {
+    let decoder = store.new_client();
+    keep_running(state, "catch-up", move |state| {
+        catch_up::run(state, decoder.new_client())
+    });
+    let reader = store.new_client();
+    keep_running(state, "sync", move |state| {
+        sync::run(state, reader.new_client())
+    });
+    let announcer = store.new_client();
+    keep_running(state, "announce", move |state| {
+        announce::run(state, announcer.new_client())
+    });
+    keep_running(state, "peers", peers::run);
+    keep_running(state, "seeds", peers::ask_seeds);
+    keep_running(state, "pressure", pressure::run);
+    keep_running(state, "scout", scout::run);
+}
+
 /// Shuts down: directs callers to other entry VMs, completes the requests in flight, and returns
 /// when the process may end.
 async fn stop(state: &State) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -39,6 +39,7 @@
 mod snapshot;
 mod state;
 mod store;
+mod supervise;
 mod sync;
 mod upstream;
 mod warmth;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -33,6 +33,7 @@
     REJECTED_CONNECTIONS,
     BAD_MESSAGES,
     BAD_HEADERS,
+    TASK_FAILURES,
     SOCKET_ERRORS,
     CLOSED_CALLERS,
     DROPPED_RESPONSES,
@@ -107,6 +108,12 @@
     &[],
     "Messages between entry VMs that could not be read or written.",
 );
+const TASK_FAILURES: Entry = entry(
+    "teaseldoor_task_failures_total",
+    "counter",
+    &["task"],
+    "Failures of tasks that were started again, and of records of the store that could not be applied.",
+);
 const SOCKET_ERRORS: Entry = entry(
     "teaseldoor_socket_errors_total",
     "counter",
@@ -249,6 +256,7 @@
     rejected_connections: IntCounter,
     bad_messages: IntCounter,
     bad_headers: IntCounter,
+    task_failures: IntCounterVec,
     socket_errors: IntCounter,
     closed_callers: IntCounterVec,
     dropped_responses: IntCounterVec,
@@ -311,6 +319,7 @@
         let rejected_connections = counter(&REJECTED_CONNECTIONS);
         let bad_messages = counter(&BAD_MESSAGES);
         let bad_headers = counter(&BAD_HEADERS);
+        let task_failures = counters(&TASK_FAILURES);
         let socket_errors = counter(&SOCKET_ERRORS);
         let closed_callers = counters(&CLOSED_CALLERS);
         let dropped_responses = counters(&DROPPED_RESPONSES);
@@ -341,6 +350,7 @@
         register(Box::new(rejected_connections.clone()));
         register(Box::new(bad_messages.clone()));
         register(Box::new(bad_headers.clone()));
+        register(Box::new(task_failures.clone()));
         register(Box::new(socket_errors.clone()));
         register(Box::new(closed_callers.clone()));
         register(Box::new(dropped_responses.clone()));
@@ -371,6 +381,7 @@
             rejected_connections,
             bad_messages,
             bad_headers,
+            task_failures,
             socket_errors,
             closed_callers,
             dropped_responses,
@@ -463,6 +474,11 @@
         self.bad_messages.inc();
     }
 
+    /// Counts a failure of `task`.
+    pub fn note_task_failure(&self, task: &str) {
+        self.task_failures.with_label_values(&[task]).inc();
+    }
+
     /// Counts a header of a backend server's response that could not be read.
     pub fn note_bad_header(&self) {
         self.bad_headers.inc();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,11 +10,8 @@
 use steer::placement::hash;
 use steer::quota::Limiter;
 use tokio::net::UdpSocket;
-use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::pressure;
-use crate::relay::scout;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -61,18 +58,23 @@
     hash(name.as_bytes()) as u32
 }
 
-/// Exchanges messages with the other entry VMs.
+/// Binds the socket for messages between entry VMs.
 ///
 /// # Errors
 ///
 /// Fails if the port cannot be bound.
-pub async fn run(state: Rc<State>) -> io::Result<()> {
+pub async fn bind(state: &State) -> io::Result<()> {
     let own = announcement(&state.settings).peer;
     let bound = UdpSocket::bind(own).await?;
-    let socket = state.peer_socket.get_or_init(|| bound);
-    spawn_local(ask_seeds(Rc::clone(&state)));
-    spawn_local(pressure::run(Rc::clone(&state)));
-    spawn_local(scout::run(Rc::clone(&state)));
+    state.peer_socket.get_or_init(|| bound);
+    Ok(())
+}
+
+/// Exchanges messages with the other entry VMs, once the socket is bound.
+pub async fn run(state: Rc<State>) {
+    let Some(socket) = state.peer_socket.get() else {
+        return;
+    };
     let mut ticks = interval(MESSAGE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_BYTES];
@@ -138,7 +140,7 @@
 
 /// Asks the seeds which VMs this VM's zone has, until this VM knows the state of the store. Messages of
 /// all VMs arrive at the same port.
-async fn ask_seeds(state: Rc<State>) {
+pub async fn ask_seeds(state: Rc<State>) {
     let settings = &state.settings;
     let hello = Datagram::Hello(Announced {
         vm: settings.vm.clone(),
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -29,6 +29,7 @@
 use crate::snapshot::{self, Fetched};
 use crate::state::{Reading, State};
 use crate::store::{Record, Store, StoreError};
+use crate::supervise;
 
 /// Pause between two watches. Followers add their own interval, and the sum has to stay well below
 /// the two seconds within which changes take effect.
@@ -481,10 +482,17 @@
     at.checked_sub(Duration::from_millis(ms))
 }
 
+/// Applies changes of the store. One that fails is left out, so that it does not cost the others.
 fn apply<S: Store>(state: &State, store: &S, items: Vec<Record>) {
     for record in items {
-        let item = store.decode(&record);
-        state.apply(record, item);
+        let key = record.key.clone();
+        let applied = supervise::guard(state, "apply", || {
+            let item = store.decode(&record);
+            state.apply(record, item);
+        });
+        if let Err(problem) = applied {
+            event::emit(&Event::KeyUnreadable { key, problem });
+        }
     }
 }
 
