Keep a late heartbeat out of what VMs pass on

Cause: the roster ignores a heartbeat that is older than the known one, but the record was put into the replica as a heartbeat, in place of the later record and with its revision of the last news. Followers got the older record; the heartbeats after it had no news. Records that are older than the known ones were kept out of the replica only while the store names an era above 0, although late writes need no restore.

Change: they are kept out in every era; the same for an older configuration.

--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -30,7 +30,7 @@
             replica.note_missing(&record.key, record.revision);
             return;
         }
-        if self.is_of_older_copy(&item, record.revision) {
+        if self.is_outdated(&item, record.revision) {
             return;
         }
         match item {
@@ -49,12 +49,10 @@
         self.replica.borrow_mut().put(record, is_heartbeat);
     }
 
-    /// Returns whether `item` is older than what is known of the same key. The store has such values after
-    /// it was restored from an older copy; the replica keeps the known ones for VMs that start.
-    fn is_of_older_copy(&self, item: &Item, revision: u64) -> bool {
-        if self.position().era == 0 {
-            return false;
-        }
+    /// Returns whether `item` is older than what is known of the same key. The store has such values if a
+    /// write arrived late, or after it was restored from an older copy; the replica keeps the known ones for
+    /// VMs that follow this one or start.
+    fn is_outdated(&self, item: &Item, revision: u64) -> bool {
         match item {
             Item::Config(config) => config.version < self.version(),
             Item::Server { id, registration } => {
--- a/crates/entry/src/register/tests.rs
+++ b/crates/entry/src/register/tests.rs
@@ -232,3 +232,23 @@
     let known = servers.get("i-1").expect("known server");
     assert_eq!(known.heartbeat.get().sequence, 1);
 }
+
+/// Guards against a late heartbeat that hides a later report from followers.
+#[test]
+fn late_heartbeat_does_not_hide_that_a_server_leaves() {
+    let mut pair = Pair::new();
+    pair.apply(Change::Written(HEARTBEAT));
+    let leaving = |sequence| Said {
+        sequence,
+        is_draining: true,
+        ..HEARTBEAT
+    };
+    let late = Said {
+        sequence: 2,
+        ..HEARTBEAT
+    };
+    pair.read(Change::Written(leaving(3)));
+    pair.apply(Change::Written(late));
+    pair.apply(Change::Written(leaving(4)));
+    assert_eq!(pair.difference(), None);
+}
