Pass on only what a server that leaves said consistently

Cause: a later heartbeat of an incarnation that said that it leaves may say ready (another writer, or one that contradicts itself). The roster keeps it leaving; the replica took the record as written, and a VM that had not heard the report before, as one that starts, sent it requests.

Change: such a record does not enter the replica.

--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -15,10 +15,21 @@
 use crate::store::Record;
 use crate::warmth::Cause;
 
+/// What a registration is to VMs that follow this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Effect {
+    /// It contradicts what the server said before, which stays.
+    Ignored,
+    /// A heartbeat without news.
+    Heartbeat,
+    /// It has news.
+    News,
+}
+
 impl State {
     /// Applies the change `record`, decoded as `item`.
     pub fn apply(&self, record: Record, item: Item) {
-        let mut is_heartbeat = false;
+        let mut effect = Effect::News;
         let is_missing = record.value.is_some() && record.revision == MISSING;
         if is_missing {
             self.grace.borrow_mut().note_missing(&record.key);
@@ -36,7 +47,7 @@
         match item {
             Item::Other => return,
             Item::Config(config) => self.apply_config(*config, record.revision),
-            Item::Server { id, registration } => is_heartbeat = self.register(&id, registration),
+            Item::Server { id, registration } => effect = self.register(&id, registration),
             Item::ServerRemoved { id } => self.unregister(&id),
             Item::ZoneEvacuated { zone } => self.evacuate(&zone, true),
             Item::ZoneRestored { zone } => self.evacuate(&zone, false),
@@ -46,7 +57,10 @@
                 return;
             }
         }
-        self.replica.borrow_mut().put(record, is_heartbeat);
+        if effect != Effect::Ignored {
+            let mut replica = self.replica.borrow_mut();
+            replica.put(record, effect == Effect::Heartbeat);
+        }
     }
 
     /// Returns whether `item` is older than what is known of the same key. The store has such values if a
@@ -142,14 +156,16 @@
         }
     }
 
-    /// Applies a backend server's registration; returns whether it has no news beyond a heartbeat.
-    fn register(&self, id: &str, registration: Registration) -> bool {
+    /// Applies a backend server's registration.
+    fn register(&self, id: &str, registration: Registration) -> Effect {
         let now = Instant::now();
+        let phase = registration.phase;
         let change = self.roster.borrow_mut().register(id, registration);
         let roster = self.roster.borrow();
         let Some(server) = roster.server(id) else {
-            return false;
+            return Effect::News;
         };
+        let is_contradiction = phase != server.registration.phase;
         let mut servers = self.servers.borrow_mut();
         match (change, servers.get(id)) {
             (Change::Unchanged, Some(_)) => {}
@@ -184,7 +200,11 @@
                 servers.put(backend);
             }
         }
-        matches!(change, Change::Unchanged | Change::Heartbeat)
+        match change {
+            _ if is_contradiction => Effect::Ignored,
+            Change::Unchanged | Change::Heartbeat => Effect::Heartbeat,
+            Change::Updated | Change::Joined | Change::Draining => Effect::News,
+        }
     }
 
     fn unregister(&self, id: &str) {
--- a/crates/entry/src/register/tests.rs
+++ b/crates/entry/src/register/tests.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, Instant};
 
 use fleet::{Item, Phase, Registration};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 
 use crate::fixture::state;
 use crate::state::State;
@@ -30,6 +32,7 @@
 #[derive(Debug, Clone, Copy)]
 enum Change {
     Written(Said),
+    Removed,
 }
 
 impl Said {
@@ -95,6 +98,7 @@
         let index = usize::try_from(revision).expect("small revision") - 1;
         let id = "i-1".to_owned();
         let (value, item) = match self.changes[index] {
+            Change::Removed => (None, Item::ServerRemoved { id }),
             Change::Written(said) => {
                 let registration = said.registration();
                 (Some(Vec::new()), Item::Server { id, registration })
@@ -252,3 +256,68 @@
     pair.apply(Change::Written(leaving(4)));
     assert_eq!(pair.difference(), None);
 }
+
+fn said() -> impl Strategy<Value = Said> {
+    let often = |likely: f64| prop::bool::weighted(likely);
+    (
+        1..4_u64,
+        1..12_u64,
+        80..82_u16,
+        often(0.1),
+        often(0.1),
+        4..6_u32,
+        often(0.2),
+        prop_oneof![2 => Just(0), 1 => 1..30_u64],
+    )
+        .prop_map(
+            |(
+                born_ms,
+                sequence,
+                port,
+                is_second_service,
+                is_second_zone,
+                slots,
+                draining,
+                cold_s,
+            )| {
+                Said {
+                    born_ms,
+                    sequence,
+                    port,
+                    is_second_service,
+                    is_second_zone,
+                    slots,
+                    is_draining: draining,
+                    cold_s,
+                }
+            },
+        )
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![8 => said().prop_map(Change::Written), 1 => Just(Change::Removed)]
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 1_000,
+        rng_seed: RngSeed::Fixed(41),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Whatever servers write and in whichever order it arrives, a follower acts on the same facts.
+    #[test]
+    fn follower_knows_what_reader_knows(
+        changes in prop::collection::vec((change(), any::<bool>()), 1..20),
+    ) {
+        let mut pair = Pair::new();
+        for (change, is_followed) in changes {
+            pair.read(change);
+            if is_followed {
+                pair.follow();
+                prop_assert_eq!(pair.difference(), None);
+            }
+        }
+    }
+}
