Read the settings again at the beginning of a planned stop

What callers would see (reported by other operators: requests taken late in the grace period and cut at its end without an answer): settings may change without a signal, and are read again every 5 s. A VM that is stopped within that time plans its end by the earlier grace period: it takes requests that it cannot finish, and the platform kills it while servers run them.

Change: the settings are read again when the stop begins.

Measured: request_is_not_taken_by_an_earlier_grace_period failed before (200 after 1.5 s where the grace period was 1 s) and passes.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -89,6 +89,8 @@
             _ = rereads.tick() => reload_settings(&state, reread(), false),
         }
     }
+    // The grace period may have changed since the settings were last read.
+    reload_settings(&state, reread(), false);
     stop(&state).await;
     Ok(())
 }
