Leave time to write the answers before a planned stop ends

What callers saw in the test: a request taken late in the grace period, whose server answers shortly before the deadline, got a part of its response.

Cause: a request was taken if its deadline lay before the end of the process, to the millisecond. A response that is there at the deadline still has to be written and read.

Change: its deadline has to lie 500 ms before the end.

Measured: response_at_the_deadline_is_not_cut_by_exit failed before and passes.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fleet::config::Limits;
 use fleet::report::{Announced, Report};
@@ -37,6 +37,9 @@
 use crate::servers::Servers;
 use crate::settings::{Bounds, Settings};
 
+/// Time in which a response that is there at the deadline reaches its caller.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+
 /// State of the daemon.
 #[derive(Debug)]
 pub struct State {
@@ -356,10 +359,11 @@
         self.in_flight.get()
     }
 
-    /// Returns whether a request with `deadline` can end before the process does.
+    /// Returns whether a request with `deadline` can be answered before the process ends.
     #[must_use]
     pub fn can_finish(&self, deadline: Instant) -> bool {
-        self.ends_at.get().is_none_or(|ends_at| deadline <= ends_at)
+        let latest = deadline + ANSWER_TIME;
+        self.ends_at.get().is_none_or(|ends_at| latest <= ends_at)
     }
 
     /// Begins the shutdown: callers are directed to other entry VMs, and the process ends at
