Send no request on late in a planned stop that its end would cut

What callers saw in the tests: a request taken before the stop whose server rejected it, or that waited for room at a server, was sent to a server late in the grace period and cut at its end with no answer, also if it must not be repeated.

Cause: whether a request can be answered before the process ends was asked once, when it was taken. A request that was taken before the stop may be sent on at any time after it.

Change: it is asked before each attempt and before passing it on through another VM, and waits for memory and room end when the stop begins.

Measured: request_that_cannot_finish_is_not_retried_during_the_stop and request_that_waits_for_room_is_refused_before_exit failed before and pass.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -198,12 +198,14 @@
     }
 
     async fn step(&mut self) -> Result<Step, Refusal> {
-        let memory = self.wait_for_memory().await?;
+        self.check_stop()?;
+        let memory = self.unless_stopping(self.wait_for_memory()).await??;
         let Choice {
             backend,
             time_factor,
         } = self.choose()?;
-        let Room::Free(_outstanding) = self.wait_for_room(&backend).await? else {
+        let room = self.unless_stopping(self.wait_for_room(&backend)).await??;
+        let Room::Free(_outstanding) = room else {
             self.attempts.without_room += 1;
             return Ok(Step::Retry);
         };
@@ -211,9 +213,35 @@
             self.attempts.without_token += 1;
             return Ok(Step::Retry);
         }
+        self.check_stop()?;
         self.attempt(&backend, time_factor, memory).await
     }
 
+    /// Fails if this VM stops and would cut the request at its end: it is sent to no further server.
+    fn check_stop(&self) -> Result<(), Refusal> {
+        if self.state.can_finish(self.deadline) {
+            Ok(())
+        } else {
+            Err(self.stopping())
+        }
+    }
+
+    /// Waits for `waiting`, unless this VM begins to stop and would cut the request at its end.
+    async fn unless_stopping<T>(&self, waiting: impl Future<Output = T>) -> Result<T, Refusal> {
+        tokio::select! {
+            biased;
+            done = waiting => Ok(done),
+            () = self.state.wait_cannot_finish(self.deadline) => Err(self.stopping()),
+        }
+    }
+
+    fn stopping(&self) -> Refusal {
+        if self.attempts.counts.may_have_run() {
+            return self.no_capacity();
+        }
+        Refusal::Leaving
+    }
+
     /// Waits for the memory that the response will probably need: a request whose response cannot be
     /// read must not run.
     async fn wait_for_memory(&self) -> Result<Reservation, Refusal> {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -65,6 +65,9 @@
     pub async fn relay(&mut self) -> Relayed {
         let sent = self.attempts.counts.sent();
         let left = self.max_sent().saturating_sub(sent);
+        if !self.state.can_finish(self.deadline) {
+            return Relayed::NoHelp;
+        }
         if left == 0 || (sent > 0 && !self.state.take_retry(self.service)) {
             return Relayed::NoHelp;
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -366,6 +366,16 @@
         self.ends_at.get().is_none_or(|ends_at| latest <= ends_at)
     }
 
+    /// Waits until this VM stops and a request with `deadline` cannot be answered before its end.
+    pub async fn wait_cannot_finish(&self, deadline: Instant) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the state.
+        let _ = phase.wait_for(|phase| *phase >= Phase::Leaving).await;
+        if self.can_finish(deadline) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Begins the shutdown: callers are directed to other entry VMs, and the process ends at
     /// `ends_at`.
     pub fn leave(&self, ends_at: Instant) {
