Answer pipelined requests that run when a VM stops

What callers saw: of requests pipelined on one connection, the first answer after SIGTERM said Connection: close, and the others were cut while servers ran them. A caller takes requests behind such an answer for not read and sends them again, so one that must not be repeated would have run twice.

Cause: each answer of a VM that stops closed the connection at once, also with others outstanding; so did a refusal that closes, at any time.

Change: after such an answer no further request of the connection is taken, and the last one outstanding closes it.

Measured: pipelined_requests_that_run_are_all_answered failed before (the first of three answers closed) and passes.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -146,7 +146,9 @@
         tokio::select! {
             biased;
             Some((mut reply, in_flight)) = replies.next(), if !is_idle => {
-                reply.closes |= (is_last && replies.is_empty()) || state.is_leaving();
+                // The caller takes requests behind a response that closes for not read.
+                is_last |= reply.closes || state.is_leaving();
+                reply.closes = is_last && replies.is_empty();
                 let closes = reply.closes;
                 let (parts, memory) = reply.into_parts();
                 let writing = write(&state, &mut writer, parts, memory);
