Let a stopping process live until callers have read their last response

What callers saw in the test: a caller that sends more on its connection while it reads the last response got a part of it: the process had ended, and the kernel resets a connection on which bytes arrive that nobody reads, with what it still had to send.

Cause: the process ends as soon as no response is being written, which means handed to the kernel. A stop later in the grace period does not even wait the 50 ms that were meant for this.

Change: the stop also waits for connections whose last response may not have been read, as long as they are kept open for that (1 s at most, and never beyond the end of the grace period).

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -178,6 +178,8 @@
             () = state.wait_closing(), if is_idle && !inbound.has_incomplete() => break,
         }
     }
+    // The process has to live until the caller has read the last response.
+    let _unread = role.carries_requests().then(|| state.begin_linger());
     linger(stream).await;
 }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -154,7 +154,7 @@
     state.close();
     // Callers that saw their connection end need a moment to read the last response.
     sleep(POLL_INTERVAL).await;
-    while state.in_flight() > 0 && Instant::now() < ends_at {
+    while state.has_callers() && Instant::now() < ends_at {
         sleep(POLL_INTERVAL).await;
     }
     event::emit(&Event::EntryStopped {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -140,6 +140,8 @@
     /// When the process ends, once it is shutting down.
     ends_at: Cell<Option<Instant>>,
     in_flight: Cell<u64>,
+    /// Connections that stay open until the caller has read the last response.
+    lingering: Cell<u64>,
     /// Number of dropped log lines as last logged.
     pub(crate) dropped_lines: Cell<u64>,
 }
@@ -164,6 +166,16 @@
     }
 }
 
+/// Counts a connection as open for its last response to be read until dropped.
+#[derive(Debug)]
+pub struct Lingering(Rc<State>);
+
+impl Drop for Lingering {
+    fn drop(&mut self) {
+        self.0.lingering.set(self.0.lingering.get() - 1);
+    }
+}
+
 /// Phases of the shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
@@ -230,6 +242,7 @@
             phase,
             ends_at: Cell::new(None),
             in_flight: Cell::new(0),
+            lingering: Cell::new(0),
             dropped_lines: Cell::new(0),
         }
     }
@@ -353,6 +366,19 @@
         InFlight(Rc::clone(self))
     }
 
+    /// Counts a connection that is open until the caller has read its last response.
+    #[must_use]
+    pub fn begin_linger(self: &Rc<Self>) -> Lingering {
+        self.lingering.set(self.lingering.get() + 1);
+        Lingering(Rc::clone(self))
+    }
+
+    /// Returns whether callers wait for a response, or may not have read all of it.
+    #[must_use]
+    pub fn has_callers(&self) -> bool {
+        self.in_flight.get() > 0 || self.lingering.get() > 0
+    }
+
     /// Returns the number of requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> u64 {
