Wait at a planned stop for requests that have arrived in part

What callers saw in the test: a request whose body arrives in pieces late in the grace period, and that could still be answered, was reset, since nothing else was in flight.

Cause: a request counted as in flight once it had arrived whole.

Change: it counts from its first byte. The limits on the time of heads and idle connections hold as before, and the end of the grace period ends it.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -79,6 +79,11 @@
     fn carries_requests(self) -> bool {
         matches!(self, Self::Requests | Self::Relayed)
     }
+
+    /// Counts a request as in flight if a shutdown waits for it.
+    fn begin_request(self, state: &Rc<State>) -> Option<InFlight> {
+        self.carries_requests().then(|| state.begin_request())
+    }
 }
 
 /// A complete request.
@@ -115,25 +120,33 @@
     let mut inbound = Inbound::new(limits, state.body_memory.clone());
     let mut replies = Replies::default();
     let mut is_last = false;
+    // Counts a request as in flight that has arrived in part.
+    let mut arriving = None;
     loop {
         while !is_last && replies.len() < MAX_PIPELINED {
             match inbound.next() {
                 Next::Incomplete => break,
                 Next::Request(incoming) => {
                     is_last = !incoming.head.is_keep_alive();
-                    let in_flight = role.carries_requests().then(|| state.begin_request());
+                    let counted = arriving.take();
+                    let in_flight = counted.or_else(|| role.begin_request(&state));
                     let answer = answer(Rc::clone(&state), role, incoming);
                     replies.push(Box::pin(async { (answer.await, in_flight) }));
                 }
                 Next::Refused(refusal) => {
                     is_last = true;
                     inbound.log_refused(&state, &refusal);
-                    let in_flight = role.carries_requests().then(|| state.begin_request());
+                    let in_flight = role.begin_request(&state);
                     let reply = (refused(role, refusal), in_flight);
                     replies.push(Box::pin(std::future::ready(reply)));
                 }
             }
         }
+        if is_last || !inbound.has_incomplete() {
+            arriving = None;
+        } else if arriving.is_none() {
+            arriving = role.begin_request(&state);
+        }
         let is_continue_due = replies.is_empty() && inbound.wants_continue();
         if is_continue_due {
             let interim = VecDeque::from([Bytes::from_static(CONTINUE)]);
