Take back an assumed outage of the store when another VM followed it all the time

Cause: a VM judges by its own silence whether the store was down. One that was cut off from the store and from the other VMs hears no news, takes that for an outage, and keeps missing registrations for 2.2 s after its return; and it tells VMs that follow it to do so. By the time that it calls the store again, machines of the deployment count as in touch.

What could tell the difference: the others' silence. A VM now names in its answers for how long it has followed the store without a gap of 1.5 s (a header, which older versions ignore). A VM that assumes an outage asks up to four VMs, and again with each reading while it keeps registrations; if one followed the store since before its own last news, it takes the assumption back (event 3030) and removes what is missing. Without such a witness all stays as it was.

Related: a time for which another VM still waits is bounded by 2.2 s when it is taken over, whatever the other VM names.

--- a/crates/entry/src/fixture.rs
+++ b/crates/entry/src/fixture.rs
@@ -1,18 +1,27 @@
-//! The state of a VM for unit tests.
+//! The state of a VM for unit tests, and a runtime for its tasks.
 
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
+use std::sync::Once;
 use std::time::Duration;
 
 use steer::budget::Limit;
+use tokio::task::LocalSet;
+use tokio::time::timeout;
 
 use crate::names::Names;
 use crate::settings::{Bounds, Listen, Settings};
 use crate::state::State;
 
+/// Time after which a test fails.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Returns the state of a VM in zone `a` that knows nothing of the store yet.
 pub fn state() -> Rc<State> {
+    // Property tests create thousands of states.
+    static QUIET: Once = Once::new();
+    QUIET.call_once(|| event::init("off").expect("log level"));
     let settings = Settings {
         vm: "vm-1".to_owned(),
         zone: "a".to_owned(),
@@ -56,3 +65,13 @@
     };
     Rc::new(State::new(settings, names))
 }
+
+/// Runs `test` on one thread with local tasks.
+pub fn run_local(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime");
+    let limited = async { timeout(TIMEOUT, test).await.expect("end in time") };
+    LocalSet::new().block_on(&runtime, limited);
+}
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use event::Event;
 use fleet::report::Announced;
@@ -11,6 +11,7 @@
 use fleet::{Config, Item, Registration};
 
 use crate::servers::Backend;
+use crate::snapshot::{self, Fetched};
 use crate::state::State;
 use crate::store::Record;
 use crate::warmth::Cause;
@@ -111,11 +112,37 @@
         });
     }
 
-    /// Records that the store answers again after an outage.
-    pub fn note_outage_end(&self, now: Instant) {
+    /// Records that the store answers again after an outage. `silent_since` is when this VM last had news
+    /// of it before.
+    pub fn note_outage_end(&self, silent_since: Option<Instant>, now: Instant) {
+        self.silent_since.set(silent_since);
         self.roster.borrow_mut().note_outage_end(now);
     }
 
+    /// Returns whether missing registrations are kept at `now` since this VM assumes that there was an outage.
+    #[must_use]
+    pub fn assumes_outage(&self, now: Instant) -> bool {
+        let is_kept = self.rejoin_until().is_some_and(|until| now < until);
+        is_kept && self.silent_since.get().is_some()
+    }
+
+    /// Takes back that there was an outage if the sender of `fetched` followed the store all the time: then
+    /// it was this VM that was cut off, and what is missing has left.
+    pub fn note_witness(&self, fetched: &Fetched, now: Instant) {
+        let Some(silent_since) = self.silent_since.get() else {
+            return;
+        };
+        let steady_ms = fetched.steady_ms.unwrap_or_default();
+        let steady_since = now.checked_sub(Duration::from_millis(steady_ms));
+        let is_recent = fetched.snapshot.age_ms < snapshot::STALE_MS;
+        if is_recent && steady_since.is_some_and(|since| since <= silent_since) {
+            self.silent_since.set(None);
+            self.roster.borrow_mut().end_rejoin(now);
+            self.expire(now);
+            event::emit(&Event::OutageTakenBack {});
+        }
+    }
+
     /// Returns until when unregistered backend servers are kept.
     #[must_use]
     pub fn rejoin_until(&self) -> Option<Instant> {
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -24,6 +24,13 @@
 /// header since older versions ignore unknown headers, but reject a path with a second parameter.
 const ERA: &str = "Teaseldoor-Era";
 
+/// Header of a response: time for which the sender has followed the store without a gap, in milliseconds.
+const STEADY: &str = "Teaseldoor-Steady-Ms";
+
+/// Age from which on a VM's state is stale, in milliseconds: a pause and a watch of a leader, and a slow
+/// response.
+pub const STALE_MS: u64 = 1_000;
+
 /// Largest response, in bytes.
 const MAX_BYTES: u64 = 8 << 20;
 
@@ -55,6 +62,9 @@
     pub snapshot: Snapshot,
     /// Era of the store that it is of; absent if the sender names none.
     pub era: Option<u64>,
+    /// Time for which the sender has followed the store without a gap, in milliseconds; absent if it does
+    /// not say.
+    pub steady_ms: Option<u64>,
 }
 
 /// Answers the request of another entry VM.
@@ -78,6 +88,10 @@
             if era > 0 {
                 reply.add_header(ERA, &era.to_string());
             }
+            if let Some(since) = state.steady_since() {
+                let steady_ms = to_millis(since.elapsed());
+                reply.add_header(STEADY, &steady_ms.to_string());
+            }
             reply
         }
         Err(error) => {
@@ -91,7 +105,11 @@
 
 /// Returns the era that a head names, if any.
 fn era_of(fields: &Fields) -> Option<u64> {
-    fields.text(ERA)?.parse().ok()
+    number(fields, ERA)
+}
+
+fn number(fields: &Fields, name: &str) -> Option<u64> {
+    fields.text(name)?.parse().ok()
 }
 
 /// Returns the changes after the revision `after` of the era `era`; versions without eras name none.
@@ -140,13 +158,18 @@
     stream.write_all(head.as_bytes()).await.map_err(text)?;
     let mut buffer = BytesMut::new();
     let mut body = None;
-    let mut sent_era = None;
+    let (mut sent_era, mut steady_ms) = (None, None);
     loop {
         if stream.read_buf(&mut buffer).await.map_err(text)? == 0 {
             return Err("connection closed before the response was complete".to_owned());
         }
         if body.is_none() {
-            (body, sent_era) = collector(&mut buffer)?;
+            let head = take_head(&mut buffer)?;
+            if let Some(head) = head {
+                sent_era = era_of(&head.fields);
+                steady_ms = number(&head.fields, STEADY);
+                body = Some(collector(&head)?);
+            }
         }
         if let Some(body) = &mut body {
             body.take(&mut buffer)
@@ -158,16 +181,18 @@
             return Ok(Fetched {
                 snapshot,
                 era: sent_era,
+                steady_ms,
             });
         }
     }
 }
 
-fn collector(buffer: &mut BytesMut) -> Result<(Option<Collector>, Option<u64>), String> {
+fn take_head(buffer: &mut BytesMut) -> Result<Option<Response>, String> {
     let head = Response::take(buffer, MAX_HEAD_BYTES);
-    let Some(head) = head.map_err(|_| "malformed or oversized head".to_owned())? else {
-        return Ok((None, None));
-    };
+    head.map_err(|_| "malformed or oversized head".to_owned())
+}
+
+fn collector(head: &Response) -> Result<Collector, String> {
     if head.status != 200 {
         return Err(format!("status {}", head.status));
     }
@@ -175,6 +200,5 @@
         .framing(false)
         .map_err(|_| "ambiguous framing".to_owned())?;
     let collector = Collector::new(framing, MAX_BYTES);
-    let collector = collector.map_err(|_| "body too large".to_owned())?;
-    Ok((Some(collector), era_of(&head.fields)))
+    collector.map_err(|_| "body too large".to_owned())
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -40,6 +40,10 @@
 /// Time in which a response that is there at the deadline reaches its caller.
 const ANSWER_TIME: Duration = Duration::from_millis(500);
 
+/// Time without an update after which the store may have been down: longer than a pause and a watch of a
+/// leader, a slow response and the interval between two fetches from it.
+pub const MIN_GAP: Duration = Duration::from_millis(1_500);
+
 /// State of the daemon.
 #[derive(Debug)]
 pub struct State {
@@ -129,6 +133,10 @@
     pub(crate) partitioned_at: Cell<Option<Instant>>,
     /// When the state was last updated.
     read_at: Cell<Option<Instant>>,
+    /// Since when the state has been recent, without a gap of [`MIN_GAP`].
+    steady_since: Cell<Option<Instant>>,
+    /// When this VM last had news of the store before the outage that it assumes.
+    pub(crate) silent_since: Cell<Option<Instant>>,
     /// Time up to which all changes of the store are known: changes that arrive next were written
     /// later.
     complete_until: Cell<Option<Instant>>,
@@ -236,6 +244,8 @@
             is_introduced: Cell::new(false),
             partitioned_at: Cell::new(None),
             read_at: Cell::new(None),
+            steady_since: Cell::new(None),
+            silent_since: Cell::new(None),
             complete_until: Cell::new(None),
             eras: RefCell::default(),
             grace: RefCell::default(),
@@ -315,7 +325,11 @@
     /// Records that all changes up to `revision` of the present era are known, as of `reading`.
     pub fn set_revision(&self, revision: u64, reading: Reading) {
         self.eras.borrow_mut().set_revision(revision);
-        self.read_at.set(Some(reading.answered_at));
+        let earlier = self.read_at.replace(Some(reading.answered_at));
+        let is_gap = |at: Instant| reading.answered_at.saturating_duration_since(at) >= MIN_GAP;
+        if earlier.is_none_or(is_gap) {
+            self.steady_since.set(Some(reading.answered_at));
+        }
         self.complete_until.set(reading.sent_at);
     }
 
@@ -331,6 +345,12 @@
         self.complete_until.get()
     }
 
+    /// Returns since when the state has been recent all the time.
+    #[must_use]
+    pub fn steady_since(&self) -> Option<Instant> {
+        self.steady_since.get()
+    }
+
     /// Returns when the state was last updated.
     #[must_use]
     pub fn read_at(&self) -> Option<Instant> {
--- a/crates/entry/src/supervise/tests.rs
+++ b/crates/entry/src/supervise/tests.rs
@@ -5,17 +5,14 @@
 use std::time::Duration;
 
 use fleet::{Config, Item, Version};
-use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use super::keep_running;
-use crate::fixture::state;
+use crate::fixture::{run_local, state};
 use crate::store::{Batch, Page, Record, Store, StoreError};
 use crate::sync;
 
-/// Time after which a test fails.
-const TIMEOUT: Duration = Duration::from_secs(10);
-
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Key that cannot be applied.
@@ -70,20 +67,10 @@
     }
 }
 
-/// Runs `test` on one thread with local tasks.
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("runtime");
-    let limited = async { timeout(TIMEOUT, test).await.expect("end in time") };
-    LocalSet::new().block_on(&runtime, limited);
-}
-
 /// Guards against a process that lives on without one of its tasks.
 #[test]
 fn task_that_panics_is_started_again() {
-    run(async {
+    run_local(async {
         let starts = Rc::new(Cell::new(0));
         let counted = Rc::clone(&starts);
         keep_running(&state(), "test", move |_| {
@@ -103,7 +90,7 @@
 /// Guards against one record that keeps the VM from applying those behind it.
 #[test]
 fn record_whose_application_fails_costs_only_itself() {
-    run(async {
+    run_local(async {
         let state = state();
         spawn_local(sync::run(Rc::clone(&state), FaultyStore));
         while state.version() < Version(2) {
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -23,11 +23,13 @@
 use fleet::Item;
 use fleet::restore::{Position, Verdict};
 use fleet::roster::REJOIN_GRACE;
+use futures::future::join_all;
 use rand::Rng as _;
+use rand::seq::IndexedRandom as _;
 use tokio::time::sleep;
 
-use crate::snapshot::{self, Fetched};
-use crate::state::{Reading, State};
+use crate::snapshot::{self, Fetched, STALE_MS};
+use crate::state::{MIN_GAP, Reading, State};
 use crate::store::{Record, Store, StoreError};
 use crate::supervise;
 
@@ -71,14 +73,8 @@
 /// Maximum number of entry VMs that are asked for a snapshot after a failed call.
 const MAX_FETCHES: usize = 2;
 
-/// Age from which on the leader's state is stale, in milliseconds: a pause and a watch of the
-/// leader, and a slow response.
-const STALE_MS: u64 = 1_000;
-
-/// Age of this VM's state from which on it accepts another VM's report of an outage: longer than
-/// the leader's pause and watch, a slow response and the interval between two fetches from the
-/// leader.
-const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
+/// Number of VMs that are asked at once whether the store served them during an assumed outage.
+const WITNESSES: usize = 4;
 
 /// Timeout of a fetch from the leader, which is in the same zone.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -152,6 +148,7 @@
             Ok(()) => {
                 self.state.metrics.note_store_call("changes", true);
                 self.failures = 0;
+                self.confirm_outage().await;
                 WATCH_PAUSE
             }
             Err(StoreError::Compacted) => {
@@ -327,6 +324,22 @@
         false
     }
 
+    /// Asks other VMs whether the store served them all the time, if this VM takes its own silence for an
+    /// outage: it may have been cut off from all of them.
+    async fn confirm_outage(&self) {
+        if !self.state.assumes_outage(Instant::now()) {
+            return;
+        }
+        let addrs: Vec<SocketAddr> = self.state.membership.borrow().state_addrs().collect();
+        let asked = addrs.choose_multiple(&mut rand::rng(), WITNESSES);
+        let position = self.state.position();
+        let answers = asked.map(|addr| snapshot::fetch(*addr, position, LEADER_TIMEOUT));
+        // One that does not answer tells nothing, as one that had no news itself.
+        for fetched in join_all(answers).await.into_iter().flatten() {
+            self.state.note_witness(&fetched, Instant::now());
+        }
+    }
+
     /// Records that the store answers. Registrations can have expired only if the store was down
     /// for all VMs; if it was unreachable for this VM alone, the other VMs' snapshots brought news
     /// of it meanwhile.
@@ -340,7 +353,8 @@
             .read_at()
             .is_some_and(|at| at > unreachable_since);
         if !has_news {
-            self.state.note_outage_end(Instant::now());
+            self.state
+                .note_outage_end(self.state.read_at(), Instant::now());
         }
     }
 
@@ -405,7 +419,7 @@
 }
 
 fn judge(state: &State, fetched: &Fetched) -> Verdict {
-    let Fetched { snapshot, era } = fetched;
+    let Fetched { snapshot, era, .. } = fetched;
     let eras = state.eras();
     eras.judge(*era, snapshot.revision, snapshot.is_complete)
 }
@@ -427,13 +441,16 @@
     if verdict == Verdict::Unusable {
         return false;
     }
-    let Fetched { snapshot, era } = fetched;
     let now = Instant::now();
+    state.note_witness(&fetched, now);
+    let Fetched { snapshot, era, .. } = fetched;
     let is_behind = state
         .read_at()
-        .is_none_or(|at| now.duration_since(at) >= MIN_OUTAGE);
+        .is_none_or(|at| now.duration_since(at) >= MIN_GAP);
     if snapshot.rejoin_ms > 0 && is_behind {
-        state.set_rejoin_until(now + Duration::from_millis(snapshot.rejoin_ms));
+        let rejoin = Duration::from_millis(snapshot.rejoin_ms).min(REJOIN_GRACE);
+        state.silent_since.set(state.read_at());
+        state.set_rejoin_until(now + rejoin);
     }
     if verdict == Verdict::SameEra && snapshot.revision < state.revision() {
         return true;
@@ -581,3 +598,6 @@
     apply(state, store, items);
     state.note_listed(revision);
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -92,4 +92,5 @@
     3027 warn StoreEraChanged { era: u64, earlier: u64, revision: u64, earlier_revision: u64, missing: u64 } "The store was restored from an older copy and is in the era `era`, at `revision`; before, the state of `earlier` up to `earlier_revision` was known (0: the store named no era). `missing` counts the known keys that the copy does not have; they are kept until their writers had time to write them again.";
     3028 info RelayRefused { request: String, service: String, vm: SocketAddr, reason: String, config: u64, vm_config: u64 } "The VM `vm`, through which a request was to be passed on, could not help. `config` is the configuration of this VM, `vm_config` the one that the other named (0: none).";
     3029 error TaskFailed { task: String, error: String } "A task of the daemon failed and is started again; the process serves on with what it knows.";
+    3030 info OutageTakenBack {} "Another VM followed the store all the time for which this one took it for down, so it was this VM that was cut off; registrations that are missing since count as removed.";
 }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -130,6 +130,12 @@
         self.announcement(hash)?.state
     }
 
+    /// Returns the addresses of the other VMs' state services, whether they are alive or not.
+    pub fn state_addrs(&self) -> impl Iterator<Item = SocketAddr> {
+        let peers = self.peers.values();
+        peers.filter_map(|peer| peer.announcement.state)
+    }
+
     /// Returns the announcement of the VM whose name has the given hash.
     #[must_use]
     pub fn announcement(&self, hash: u64) -> Option<&Announcement> {
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -159,6 +159,15 @@
         self.rejoin_until = Some(now + REJOIN_GRACE);
     }
 
+    /// Ends the time for which missing registrations are kept; those that are missing are due for removal
+    /// at `now`.
+    pub fn end_rejoin(&mut self, now: Instant) {
+        self.rejoin_until = None;
+        for until in self.missing.values_mut() {
+            *until = now;
+        }
+    }
+
     /// Returns until when missing registrations are kept.
     #[must_use]
     pub fn rejoin_until(&self) -> Option<Instant> {
