Reset a connection whose request nobody waits for any more

Cause: when a request times out or its caller leaves, the VM closes the connection to the server in order, and the kernel goes on sending what a cut has held up.

Change: a connection ends with a reset unless the whole request was sent and answered. The same code sends requests on through another VM, where held up bytes would run later as well. The writing half does it as it is dropped, so that every way out is covered: time-outs, callers that leave, broken answers and lack of memory.

--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -6,9 +6,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
+use socket2::SockRef;
 use steer::idle::Limit;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::WriteHalf;
 use tokio::time::{timeout, timeout_at};
 
 use crate::body::Collector;
@@ -100,7 +102,7 @@
 }
 
 /// Sends `request` to the server of `load_guard` and waits for the response until `deadline`.
-/// Dropping the future closes the connection, which signals to the server that nobody waits.
+/// Dropping the future resets the connection, which signals to the server that nobody waits.
 pub async fn send(
     load_guard: &LoadGuard,
     request: &Outgoing,
@@ -177,7 +179,7 @@
     let connecting = TcpStream::connect(addr);
     let stream = timeout(CONNECT_TIMEOUT.min(remaining), connecting).await??;
     stream.set_nodelay(true)?;
-    let socket = socket2::SockRef::from(&stream);
+    let socket = SockRef::from(&stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     Ok(stream)
 }
@@ -223,6 +225,24 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// The writing half of a connection with a request that may not have arrived whole. Unless the exchange is
+/// complete when it is dropped, the connection ends with a reset: what the kernel still holds, as during a
+/// partition, must not arrive once nobody waits for it.
+struct Pending<'a> {
+    writer: WriteHalf<'a>,
+    is_complete: bool,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if !self.is_complete {
+            let socket = SockRef::from(self.writer.as_ref());
+            // If it fails, the connection is closed in order.
+            let _ = socket.set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 /// A response, and the connection if it can be reused.
 struct Exchange {
     response: Response,
@@ -244,7 +264,11 @@
     names: &Names,
     memory: Reservation,
 ) -> Result<Exchange, Failure> {
-    let (mut reader, mut writer) = stream.split();
+    let (mut reader, writer) = stream.split();
+    let mut pending = Pending {
+        writer,
+        is_complete: false,
+    };
     let mut rest = request.head.clone().chain(request.body.clone());
     let mut receiver = Receiver::new(request, names, memory);
     let mut is_writing = true;
@@ -261,7 +285,7 @@
                     });
                 }
             },
-            written = writer.write_buf(&mut rest), if is_writing => {
+            written = pending.writer.write_buf(&mut rest), if is_writing => {
                 // A server may answer although it stopped reading the body, so a failed write alone
                 // is no failure of the attempt.
                 is_writing = written.is_ok() && rest.has_remaining();
@@ -272,6 +296,8 @@
     // If a response without an attempt came once more, it would be taken for that of the next request.
     let is_named = response.head.fields.get(names.attempt).is_some();
     let is_reusable = is_complete && is_named && response.head.is_keep_alive();
+    pending.is_complete = !rest.has_remaining();
+    drop(pending);
     Ok(Exchange {
         response,
         stream: is_reusable.then_some(stream),
