Log and count how large, how long and how old what VMs learn is

The incident's logs could not tell its hypotheses apart: no line says how far a response came before it was given up, how long a configuration took to decode and apply, or by how much the thread that serves requests was late.

Events TransferEnded (large or cut responses) and ConfigApplied; metrics by purpose and outcome for responses, bytes and time, and for the delay of the regular task. No logic changes.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,6 +43,7 @@
 mod store;
 mod supervise;
 mod sync;
+pub mod transfer;
 mod upstream;
 mod warmth;
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,8 +4,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+    IntGauge, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -39,6 +39,10 @@
     DROPPED_RESPONSES,
     BODY_WAITS,
     STORE_CALLS,
+    TRANSFERS,
+    TRANSFERRED_BYTES,
+    TRANSFER_SECONDS,
+    TICK_DELAY,
     MESSAGES,
     LOAD_ENTRIES,
     ADMISSIONS,
@@ -144,6 +148,30 @@
     &["purpose", "outcome"],
     "Calls to the platform's store.",
 );
+const TRANSFERS: Entry = entry(
+    "teaseldoor_state_transfers_total",
+    "counter",
+    &["purpose", "outcome"],
+    "Responses that bring the store's state, from the store and from other entry VMs: complete, or cut before.",
+);
+const TRANSFERRED_BYTES: Entry = entry(
+    "teaseldoor_state_transferred_bytes_total",
+    "counter",
+    &["purpose", "outcome"],
+    "Bytes of these responses, those included that were received in vain.",
+);
+const TRANSFER_SECONDS: Entry = entry(
+    "teaseldoor_state_transfer_seconds",
+    "histogram",
+    &["purpose"],
+    "Time of one of these responses, with the time that the store waits for changes.",
+);
+const TICK_DELAY: Entry = entry(
+    "teaseldoor_tick_delay_seconds",
+    "histogram",
+    &[],
+    "Time by which the regular task of the thread that serves requests ran late.",
+);
 const MESSAGES: Entry = entry(
     "teaseldoor_messages_sent_total",
     "counter",
@@ -249,6 +277,10 @@
     seconds: HistogramVec,
     backend_seconds: HistogramVec,
     store_calls: IntCounterVec,
+    transfers: IntCounterVec,
+    transferred_bytes: IntCounterVec,
+    transfer_seconds: HistogramVec,
+    tick_delay: Histogram,
     messages: IntCounterVec,
     load_entries: IntCounterVec,
     admissions: IntCounterVec,
@@ -312,6 +344,10 @@
         let seconds = histograms(&SECONDS);
         let backend_seconds = histograms(&BACKEND_SECONDS);
         let store_calls = counters(&STORE_CALLS);
+        let transfers = counters(&TRANSFERS);
+        let transferred_bytes = counters(&TRANSFERRED_BYTES);
+        let transfer_seconds = histograms(&TRANSFER_SECONDS);
+        let tick_delay = histogram(&TICK_DELAY);
         let messages = counters(&MESSAGES);
         let load_entries = counters(&LOAD_ENTRIES);
         let admissions = counters(&ADMISSIONS);
@@ -343,6 +379,10 @@
         register(Box::new(seconds.clone()));
         register(Box::new(backend_seconds.clone()));
         register(Box::new(store_calls.clone()));
+        register(Box::new(transfers.clone()));
+        register(Box::new(transferred_bytes.clone()));
+        register(Box::new(transfer_seconds.clone()));
+        register(Box::new(tick_delay.clone()));
         register(Box::new(messages.clone()));
         register(Box::new(load_entries.clone()));
         register(Box::new(admissions.clone()));
@@ -374,6 +414,10 @@
             seconds,
             backend_seconds,
             store_calls,
+            transfers,
+            transferred_bytes,
+            transfer_seconds,
+            tick_delay,
             messages,
             load_entries,
             admissions,
@@ -406,6 +450,11 @@
     HistogramVec::new(options, entry.labels).expect(VALID)
 }
 
+fn histogram(entry: &Entry) -> Histogram {
+    let options = HistogramOpts::new(entry.name, entry.help).buckets(BUCKETS.to_vec());
+    Histogram::with_opts(options).expect(VALID)
+}
+
 fn gauge(entry: &Entry) -> Gauge {
     Gauge::new(entry.name, entry.help).expect(VALID)
 }
@@ -441,6 +490,22 @@
             .inc();
     }
 
+    /// Counts a response that brings the store's state.
+    pub fn note_transfer(&self, purpose: &str, is_complete: bool, bytes: u64, elapsed: Duration) {
+        let labels = [purpose, if is_complete { "complete" } else { "cut" }];
+        self.transfers.with_label_values(&labels).inc();
+        self.transferred_bytes
+            .with_label_values(&labels)
+            .inc_by(bytes);
+        let histogram = self.transfer_seconds.with_label_values(&[purpose]);
+        histogram.observe(elapsed.as_secs_f64());
+    }
+
+    /// Records by how much a regular task ran late.
+    pub fn note_tick_delay(&self, delay: Duration) {
+        self.tick_delay.observe(delay.as_secs_f64());
+    }
+
     /// Counts a message sent to another entry VM.
     pub fn note_message(&self, kind: &str) {
         self.messages.with_label_values(&[kind]).inc();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -89,6 +89,8 @@
             }
             _ = ticks.tick() => {
                 let now = Instant::now();
+                let delay = now.duration_since(last).saturating_sub(MESSAGE_INTERVAL);
+                state.metrics.note_tick_delay(delay);
                 state.tick(now.duration_since(last).as_secs_f64(), now);
                 last = now;
                 send_reports(&state, now).await;
--- a/crates/entry/src/relay/choice.rs
+++ b/crates/entry/src/relay/choice.rs
@@ -123,7 +123,8 @@
         let Some(addr) = helper.state else {
             return false;
         };
-        let Ok(fetched) = snapshot::fetch(addr, self.position(), CONFIRM_TIMEOUT).await else {
+        let Ok(fetched) = snapshot::fetch(self, addr, self.position(), CONFIRM_TIMEOUT).await
+        else {
             return false;
         };
         let position = Position {
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -16,6 +16,7 @@
 use crate::response::{Refusal, Reply};
 use crate::state::State;
 use crate::store::Record;
+use crate::transfer::{Progress, Purpose};
 
 /// Path of the snapshots; the revision that the requester knows follows.
 const PATH: &str = "/state?after=";
@@ -130,7 +131,9 @@
     }
 }
 
-fn to_millis(span: Duration) -> u64 {
+/// Returns `span` in whole milliseconds.
+#[must_use]
+pub fn to_millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -139,12 +142,26 @@
 /// # Errors
 ///
 /// Fails with a description of the problem.
-pub async fn fetch(addr: SocketAddr, known: Position, limit: Duration) -> Result<Fetched, String> {
-    let fetched = timeout(limit, exchange(addr, known)).await;
-    fetched.map_err(|_| "no response in time".to_owned())?
+pub async fn fetch(
+    state: &State,
+    addr: SocketAddr,
+    known: Position,
+    limit: Duration,
+) -> Result<Fetched, String> {
+    let progress = Progress::default();
+    let fetched = timeout(limit, exchange(addr, known, &progress)).await;
+    let fetched = fetched.map_err(|_| "no response in time".to_owned());
+    let fetched = fetched.flatten();
+    let age_ms = fetched.as_ref().ok().map(|fetched| fetched.snapshot.age_ms);
+    state.note_transfer(Purpose::Snapshot, &addr.to_string(), &progress, age_ms);
+    fetched
 }
 
-async fn exchange(addr: SocketAddr, known: Position) -> Result<Fetched, String> {
+async fn exchange(
+    addr: SocketAddr,
+    known: Position,
+    progress: &Progress,
+) -> Result<Fetched, String> {
     let text = |error: std::io::Error| error.to_string();
     let mut stream = TcpStream::connect(addr).await.map_err(text)?;
     let Position { era, revision } = known;
@@ -168,12 +185,15 @@
             if let Some(head) = head {
                 sent_era = era_of(&head.fields);
                 steady_ms = number(&head.fields, STEADY);
-                body = Some(collector(&head)?);
+                let collector = collector(&head)?;
+                progress.note_expected(collector.expected_len());
+                body = Some(collector);
             }
         }
         if let Some(body) = &mut body {
             body.take(&mut buffer)
                 .map_err(|_| "malformed or oversized body".to_owned())?;
+            progress.note_received(body.len() as u64);
         }
         if let Some(body) = body.take_if(|body| body.is_complete()) {
             let snapshot = postcard::from_bytes(&body.into_body());
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -5,6 +5,8 @@
 use fleet::Item;
 use serde::{Deserialize, Serialize};
 
+use crate::transfer::Progress;
+
 /// A key of the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -76,13 +78,18 @@
 /// Client of the platform's store. Each client makes one call at a time.
 pub trait Store {
     /// Returns the keys that follow `after`.
-    fn list(&mut self, after: &str) -> impl Future<Output = Result<Page, StoreError>>;
+    fn list(
+        &mut self,
+        after: &str,
+        progress: &Progress,
+    ) -> impl Future<Output = Result<Page, StoreError>>;
 
     /// Returns the changes after `revision`, as soon as there are any or `wait` has passed.
     fn watch(
         &mut self,
         revision: u64,
         wait: Duration,
+        progress: &Progress,
     ) -> impl Future<Output = Result<Batch, StoreError>>;
 
     /// Writes the announced entry VMs of `zone`; returns the era in which they were written, if the
--- a/crates/entry/src/supervise/tests.rs
+++ b/crates/entry/src/supervise/tests.rs
@@ -12,6 +12,7 @@
 use crate::fixture::{run_local, state};
 use crate::store::{Batch, Page, Record, Store, StoreError};
 use crate::sync;
+use crate::transfer::Progress;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -33,7 +34,7 @@
 }
 
 impl Store for FaultyStore {
-    async fn list(&mut self, _after: &str) -> Result<Page, StoreError> {
+    async fn list(&mut self, _after: &str, _progress: &Progress) -> Result<Page, StoreError> {
         Ok(Page {
             items: Self::records(1),
             has_more: false,
@@ -42,7 +43,12 @@
         })
     }
 
-    async fn watch(&mut self, revision: u64, _wait: Duration) -> Result<Batch, StoreError> {
+    async fn watch(
+        &mut self,
+        revision: u64,
+        _wait: Duration,
+        _progress: &Progress,
+    ) -> Result<Batch, StoreError> {
         Ok(Batch {
             events: Self::records(revision + 1),
             revision: revision + 1,
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -28,7 +28,8 @@
 
 use crate::snapshot::{self, STALE_MS};
 use crate::state::{Reading, State};
-use crate::store::{Record, Store, StoreError};
+use crate::store::{Page, Record, Store, StoreError};
+use crate::transfer::{Progress, Purpose};
 
 mod changes;
 
@@ -86,6 +87,9 @@
 /// Interval between two fetches from the leader.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Name of the store as the source of a response.
+const STORE: &str = "store";
+
 /// Keeps the state up to date.
 pub async fn run<S: Store>(state: Rc<State>, mut store: S) {
     let mut reader = Reader {
@@ -235,7 +239,7 @@
     /// Applies the snapshot of the VM at `addr` in this zone, if it is recent.
     async fn fetch_recent<S: Store>(&mut self, store: &S, addr: SocketAddr) -> Outcome {
         let sent_at = Instant::now();
-        match snapshot::fetch(addr, self.state.position(), LEADER_TIMEOUT).await {
+        match snapshot::fetch(self.state, addr, self.state.position(), LEADER_TIMEOUT).await {
             Ok(fetched) if fetched.snapshot.age_ms < STALE_MS => {
                 if !apply_snapshot(self.state, store, fetched, sent_at) {
                     return Outcome::Stale;
@@ -256,7 +260,7 @@
     async fn read_store<S: Store>(&mut self, store: &mut S) -> Result<(), StoreError> {
         let sent_at = Instant::now();
         if !self.is_listed {
-            let listing = list(store).await?;
+            let listing = list(self.state, store).await?;
             let is_start = self.state.read_at().is_none() && listing.era.is_some();
             let has_learned = is_start && self.learn_from_peer(store).await;
             let order = self.state.eras().compare(listing.era);
@@ -285,7 +289,13 @@
             expire_missing(self.state, store);
             return Ok(());
         }
-        let batch = store.watch(self.state.revision(), WATCH_WAIT).await?;
+        let progress = Progress::default();
+        let batch = store.watch(self.state.revision(), WATCH_WAIT, &progress);
+        let batch = batch.await;
+        let age_ms = batch.is_ok().then_some(0);
+        self.state
+            .note_transfer(Purpose::Changes, STORE, &progress, age_ms);
+        let batch = batch?;
         match self.state.eras().compare(batch.era) {
             Ordering::Less => {
                 return Err(StoreError::EarlierEra(batch.era.unwrap_or_default()));
@@ -314,7 +324,8 @@
         addrs.retain(|addr| addr.ip() != settings.ip);
         for addr in addrs.into_iter().take(MAX_FETCHES) {
             let sent_at = Instant::now();
-            let fetched = snapshot::fetch(addr, Position::default(), LEADER_TIMEOUT).await;
+            let position = Position::default();
+            let fetched = snapshot::fetch(self.state, addr, position, LEADER_TIMEOUT).await;
             // A VM of a version without eras does not tell whether it knows of a restore.
             if let Ok(fetched) = fetched
                 && fetched.era.is_some()
@@ -334,7 +345,9 @@
         let addrs: Vec<SocketAddr> = self.state.membership.borrow().state_addrs().collect();
         let asked = addrs.choose_multiple(&mut rand::rng(), WITNESSES);
         let position = self.state.position();
-        let answers = asked.map(|addr| snapshot::fetch(*addr, position, LEADER_TIMEOUT));
+        let fetch =
+            |addr: &SocketAddr| snapshot::fetch(self.state, *addr, position, LEADER_TIMEOUT);
+        let answers = asked.map(fetch);
         // One that does not answer tells nothing, as one that had no news itself.
         for fetched in join_all(answers).await.into_iter().flatten() {
             self.state.note_witness(&fetched, Instant::now());
@@ -401,7 +414,7 @@
     limit: Duration,
 ) -> bool {
     let sent_at = Instant::now();
-    match snapshot::fetch(addr, state.position(), limit).await {
+    match snapshot::fetch(state, addr, state.position(), limit).await {
         Ok(fetched) if is_newer(state, &fetched) => apply_snapshot(state, store, fetched, sent_at),
         Ok(_) => false,
         Err(error) => {
@@ -427,8 +440,9 @@
     era: Option<u64>,
 }
 
-async fn list<S: Store>(store: &mut S) -> Result<Listing, StoreError> {
-    let first = store.list("").await?;
+/// Lists all keys of the store.
+async fn list<S: Store>(state: &State, store: &mut S) -> Result<Listing, StoreError> {
+    let first = list_page(state, store, "").await?;
     let (revision, era) = (first.revision, first.era);
     let mut has_more = first.has_more;
     let mut items = first.items;
@@ -437,7 +451,7 @@
             .last()
             .map(|record| record.key.clone())
             .unwrap_or_default();
-        let page = store.list(&after).await?;
+        let page = list_page(state, store, &after).await?;
         if page.era != era {
             // The store was restored between two pages.
             return Err(StoreError::Compacted);
@@ -452,5 +466,17 @@
     })
 }
 
+async fn list_page<S: Store>(
+    state: &State,
+    store: &mut S,
+    after: &str,
+) -> Result<Page, StoreError> {
+    let progress = Progress::default();
+    let page = store.list(after, &progress).await;
+    let age_ms = page.is_ok().then_some(0);
+    state.note_transfer(Purpose::Listing, STORE, &progress, age_ms);
+    page
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/entry/src/sync/changes.rs
+++ b/crates/entry/src/sync/changes.rs
@@ -8,7 +8,7 @@
 use fleet::restore::{Position, Verdict};
 use fleet::roster::REJOIN_GRACE;
 
-use crate::snapshot::Fetched;
+use crate::snapshot::{Fetched, to_millis};
 use crate::state::{MIN_GAP, Reading, State};
 use crate::store::{Record, Store};
 use crate::supervise;
@@ -103,16 +103,33 @@
 pub fn apply<S: Store>(state: &State, store: &S, items: Vec<Record>) {
     for record in items {
         let key = record.key.clone();
-        let applied = supervise::guard(state, "apply", || {
-            let item = store.decode(&record);
-            state.apply(record, item);
-        });
+        let applied = supervise::guard(state, "apply", || apply_record(state, store, record));
         if let Err(problem) = applied {
             event::emit(&Event::KeyUnreadable { key, problem });
         }
     }
 }
 
+fn apply_record<S: Store>(state: &State, store: &S, record: Record) {
+    let bytes = record.value.as_ref().map_or(0, Vec::len);
+    let began = Instant::now();
+    let item = store.decode(&record);
+    let decoded = Instant::now();
+    let version = match &item {
+        Item::Config(config) if config.version > state.version() => Some(config.version),
+        _ => None,
+    };
+    state.apply(record, item);
+    if let Some(version) = version {
+        event::emit(&Event::ConfigApplied {
+            revision: version.0,
+            bytes: bytes as u64,
+            decode_ms: to_millis(decoded.duration_since(began)),
+            apply_ms: to_millis(decoded.elapsed()),
+        });
+    }
+}
+
 /// Replaces all known keys by `items` of a later era.
 pub fn enter_era<S: Store>(
     state: &State,
--- a/crates/entry/src/sync/tests.rs
+++ b/crates/entry/src/sync/tests.rs
@@ -16,6 +16,7 @@
 use crate::fixture::{run_local, state};
 use crate::state::{MIN_GAP, Reading, State};
 use crate::store::{Batch, Page, Record, Store, StoreError};
+use crate::transfer::Progress;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -44,7 +45,7 @@
 }
 
 impl Store for OneKey {
-    async fn list(&mut self, _after: &str) -> Result<Page, StoreError> {
+    async fn list(&mut self, _after: &str, _progress: &Progress) -> Result<Page, StoreError> {
         Ok(Page {
             items: vec![Self::record(Some(Vec::new()), 1)],
             has_more: false,
@@ -53,7 +54,12 @@
         })
     }
 
-    async fn watch(&mut self, _revision: u64, _wait: Duration) -> Result<Batch, StoreError> {
+    async fn watch(
+        &mut self,
+        _revision: u64,
+        _wait: Duration,
+        _progress: &Progress,
+    ) -> Result<Batch, StoreError> {
         let (events, revision) = match self.0.get() {
             Mode::Registered => (Vec::new(), 1),
             Mode::Down => return Err(StoreError::Refused(503)),
--- a/crates/event/src/list.rs
+++ b/crates/event/src/list.rs
@@ -93,4 +93,6 @@
     3028 info RelayRefused { request: String, service: String, vm: SocketAddr, reason: String, config: u64, vm_config: u64 } "The VM `vm`, through which a request was to be passed on, could not help. `config` is the configuration of this VM, `vm_config` the one that the other named (0: none).";
     3029 error TaskFailed { task: String, error: String } "A task of the daemon failed and is started again; the process serves on with what it knows.";
     3030 info OutageTakenBack {} "Another VM followed the store all the time for which this one took it for down, so it was this VM that was cut off; registrations that are missing since count as removed.";
+    3031 info TransferEnded { purpose: String, source: String, complete: bool, bytes: u64, expected: u64, ms: u64, age_ms: u64 } "A response of the store or of another entry VM (`source`) that brings the store's state was large, or ended before it was complete: `bytes` of `expected` (0: unknown) arrived in `ms`. `age_ms` is the age of the state in it.";
+    3032 info ConfigApplied { revision: u64, bytes: u64, decode_ms: u64, apply_ms: u64 } "A configuration of `bytes` was decoded in `decode_ms` and applied in `apply_ms`.";
 }
