Show that a large configuration holds up itself and every other change

Five tests fail on the present code, over links that take seconds for 1 MB: from the store by a watch, with a leaving written with and after it, by the first listing, and from the leader of the zone. In the latter case 500 kB a second is not enough in 10 s; 50 MB a second is, and then a change of two bytes costs the whole configuration again.

The stand-ins' links take a rate.

--- a/crates/entry/src/sync/tests.rs
+++ b/crates/entry/src/sync/tests.rs
@@ -18,6 +18,8 @@
 use crate::store::{Batch, Page, Record, Store, StoreError};
 use crate::transfer::Progress;
 
+mod slow_link;
+
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// What the store does.
--- a/crates/standin/src/listener.rs
+++ b/crates/standin/src/listener.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
 
 /// Size of the buffer that each direction of a connection copies through.
 const BUFFER_BYTES: usize = 32 * 1024;
@@ -20,6 +21,57 @@
 /// End of an HTTP message's head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
+/// Bytes that a slow link passes on at once.
+const SLOW_LINK_BYTES: usize = 2 * 1024;
+
+/// The rate at which answers pass, all connections of a listener together.
+#[derive(Clone, Debug, Default)]
+struct Pace {
+    inner: Arc<Mutex<Schedule>>,
+}
+
+#[derive(Debug, Default)]
+struct Schedule {
+    /// Bytes a second; absent: no limit.
+    rate: Option<u32>,
+    /// When the bytes passed on so far have left the link.
+    free_at: Option<Instant>,
+}
+
+impl Pace {
+    fn set(&self, rate: Option<u32>) {
+        *lock(&self.inner) = Schedule {
+            rate,
+            free_at: None,
+        };
+    }
+
+    /// Returns how many bytes may be passed on at once.
+    fn max_bytes(&self) -> usize {
+        let is_slow = lock(&self.inner).rate.is_some();
+        if is_slow {
+            SLOW_LINK_BYTES
+        } else {
+            BUFFER_BYTES
+        }
+    }
+
+    /// Waits until `bytes` bytes have passed.
+    fn pass(&self, bytes: usize) {
+        let free_at = {
+            let mut schedule = lock(&self.inner);
+            let Some(rate) = schedule.rate else { return };
+            let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+            let span = Duration::from_secs(1) * bytes / rate;
+            let now = Instant::now();
+            let free_at = schedule.free_at.map_or(now, |at| at.max(now)) + span;
+            schedule.free_at = Some(free_at);
+            free_at
+        };
+        thread::sleep(free_at.saturating_duration_since(Instant::now()));
+    }
+}
+
 /// Locks `mutex`, also after a panic of another holder.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -112,6 +164,7 @@
     addr: SocketAddr,
     server: SocketAddr,
     connections: Connections,
+    pace: Pace,
     /// `None` while the listener is cut.
     accepting: Mutex<Option<Accepting>>,
 }
@@ -125,11 +178,13 @@
     ) -> io::Result<Self> {
         let socket = TcpListener::bind(addr)?;
         let addr = socket.local_addr()?;
-        let accepting = Accepting::start(socket, server, connections.clone())?;
+        let pace = Pace::default();
+        let accepting = Accepting::start(socket, server, connections.clone(), pace.clone())?;
         Ok(Self {
             addr,
             server,
             connections,
+            pace,
             accepting: Mutex::new(Some(accepting)),
         })
     }
@@ -149,6 +204,11 @@
         self.addr
     }
 
+    /// Lets answers pass at `rate` bytes a second, all connections together; with `None`, without limit.
+    pub fn set_rate(&self, rate: Option<u32>) {
+        self.pace.set(rate);
+    }
+
     /// Cuts the callers of this listener off: open connections break and new ones are refused.
     pub fn cut(&self) {
         // The lock is held to the end, so that no connection made after a restore is closed.
@@ -170,7 +230,8 @@
         let mut accepting = lock(&self.accepting);
         if accepting.is_none() {
             let socket = TcpListener::bind(self.addr)?;
-            let started = Accepting::start(socket, self.server, self.connections.clone())?;
+            let connections = self.connections.clone();
+            let started = Accepting::start(socket, self.server, connections, self.pace.clone())?;
             *accepting = Some(started);
         }
         Ok(())
@@ -201,12 +262,14 @@
         socket: TcpListener,
         server: SocketAddr,
         connections: Connections,
+        pace: Pace,
     ) -> io::Result<Self> {
         let stopping = Arc::new(AtomicBool::new(false));
         let acceptor = Acceptor {
             port: socket.local_addr()?.port(),
             server,
             connections,
+            pace,
             stopping: Arc::clone(&stopping),
         };
         let thread = thread::Builder::new()
@@ -232,6 +295,7 @@
     port: u16,
     server: SocketAddr,
     connections: Connections,
+    pace: Pace,
     stopping: Arc<AtomicBool>,
 }
 
@@ -263,8 +327,14 @@
             server: server.try_clone()?,
             body_limit: Arc::clone(&body_limit),
         };
-        let request = Copy::new(caller.try_clone()?, server.try_clone()?, None);
-        let answer = Copy::new(server, caller, Some(Arc::clone(&body_limit)));
+        let request = Copy::new(
+            caller.try_clone()?,
+            server.try_clone()?,
+            None,
+            Pace::default(),
+        );
+        let limit = Some(Arc::clone(&body_limit));
+        let answer = Copy::new(server, caller, limit, self.pace.clone());
         self.connections.add(peer, connection);
         if self.stopping.load(Ordering::SeqCst) {
             self.connections.forget(peer, &body_limit);
@@ -297,14 +367,21 @@
     from: TcpStream,
     to: TcpStream,
     body_limit: Option<Arc<AtomicUsize>>,
+    pace: Pace,
 }
 
 impl Copy {
-    fn new(from: TcpStream, to: TcpStream, body_limit: Option<Arc<AtomicUsize>>) -> Self {
+    fn new(
+        from: TcpStream,
+        to: TcpStream,
+        body_limit: Option<Arc<AtomicUsize>>,
+        pace: Pace,
+    ) -> Self {
         Self {
             from,
             to,
             body_limit,
+            pace,
         }
     }
 
@@ -313,7 +390,8 @@
         let mut buffer = vec![0; BUFFER_BYTES];
         let mut left = None;
         loop {
-            let read = self.from.read(&mut buffer)?;
+            let max_bytes = self.pace.max_bytes();
+            let read = self.from.read(&mut buffer[..max_bytes])?;
             if read == 0 {
                 return Ok(());
             }
@@ -324,6 +402,7 @@
                 Some(left) => left,
                 None => self.allowance(&buffer[..read]),
             };
+            self.pace.pass(read.min(allowed));
             self.to.write_all(&buffer[..read.min(allowed)])?;
             if read >= allowed {
                 return Ok(());
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -118,6 +118,11 @@
         *lock(&self.fault) = fault;
     }
 
+    /// Lets answers pass at `rate` bytes a second, all connections together; with `None`, without limit.
+    pub fn set_rate(&self, rate: Option<u32>) {
+        self.listener.set_rate(rate);
+    }
+
     /// Returns the number of calls.
     #[must_use]
     pub fn calls(&self) -> usize {
