--- a/crates/entry/src/sync/tests/slow_link.rs
+++ b/crates/entry/src/sync/tests/slow_link.rs
@@ -34,6 +34,9 @@
 /// Bytes that the link passes on at once.
 const CHUNK_BYTES: usize = 2 << 10;
 
+/// Shortest time for which the link waits.
+const MIN_SLEEP: Duration = Duration::from_millis(4);
+
 /// The keys of a store in this process.
 #[derive(Default)]
 struct Keys {
@@ -178,7 +181,10 @@
             let free_at = self.free_at.get().max(Instant::now()) + span;
             self.free_at.set(free_at);
             self.passed.set(self.passed.get() + read);
-            sleep_until(free_at.into()).await;
+            // Timers have a resolution of a millisecond.
+            if free_at.saturating_duration_since(Instant::now()) > MIN_SLEEP {
+                sleep_until(free_at.into()).await;
+            }
             responses.write_all(&buffer[..read]).await?;
         }
     }
