--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod item;
 pub mod membership;
+pub mod parts;
 pub mod pressure;
 pub mod reach;
 pub mod report;
--- /dev/null
+++ b/crates/fleet/src/parts/tests.rs
@@ -0,0 +1,131 @@
+//! Which versions of large values are fetched, and what of them.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+
+use super::{Deferred, Manifest, Values};
+
+const KEY: &str = "op/config";
+
+/// Returns `bytes` bytes without a pattern.
+fn text(seed: u64, bytes: usize) -> Vec<u8> {
+    let mut state = seed;
+    let mut next = || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        state.to_be_bytes()[0]
+    };
+    (0..bytes).map(|_| next()).collect()
+}
+
+fn deferred(revision: u64, value: &Bytes) -> Deferred {
+    Deferred {
+        key: KEY.to_owned(),
+        revision,
+        manifest: Manifest::of(value),
+    }
+}
+
+/// Receives `most` of the missing parts from a VM that has `sources`; returns their number.
+fn fetch(values: &mut Values, source: &Values, most: usize) -> usize {
+    let missing = values.missing();
+    let parts = missing
+        .iter()
+        .filter_map(|part| source.part(part.id).cloned());
+    let parts: Vec<Bytes> = parts.take(most).collect();
+    parts
+        .into_iter()
+        .filter(|part| values.receive(part.clone()))
+        .count()
+}
+
+#[test]
+fn change_of_a_few_bytes_needs_few_parts() {
+    let mut content = text(1, 1_000_000);
+    let first = Bytes::from(content.clone());
+    content.splice(500_000..500_000, *b"more");
+    let second = Bytes::from(content);
+    let mut values = Values::default();
+    values.keep(&first);
+    values.offer(deferred(2, &second));
+    let missing: u32 = values.missing().iter().map(|part| part.bytes).sum();
+    assert!(missing < 64 << 10, "{missing}");
+}
+
+/// Guards against versions that keep each other from arriving.
+#[test]
+fn versions_that_follow_each_other_faster_than_they_arrive_are_completed() {
+    let mut source = Values::default();
+    let mut values = Values::default();
+    let mut taken = Vec::new();
+    for revision in 1..=20 {
+        let value = Bytes::from(text(revision, 200_000));
+        source.keep(&value);
+        values.offer(deferred(revision, &value));
+        fetch(&mut values, &source, 10);
+        if let Some((done, content)) = values.complete() {
+            assert!(values.finish(&done));
+            values.keep(&content);
+            taken.push(done.revision);
+        }
+        // What the source no longer has is given up.
+        if fetch(&mut values, &source, 0) == 0
+            && values
+                .missing()
+                .iter()
+                .all(|part| source.part(part.id).is_none())
+        {
+            values.skip();
+        }
+    }
+    assert!(taken.len() >= 4, "{taken:?}");
+    assert!(taken.is_sorted());
+}
+
+#[test]
+fn part_of_another_value_is_not_kept() {
+    let mut values = Values::default();
+    values.offer(deferred(1, &Bytes::from(text(1, 50_000))));
+    assert!(!values.receive(Bytes::from(text(2, 5_000))));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// Whatever versions are offered and whichever parts arrive, what is taken is whole, and the last version
+    /// is taken in the end.
+    #[test]
+    fn taken_values_are_whole(steps in prop::collection::vec((0_u64..6, 0_usize..40, 1_usize..30), 1..12)) {
+        let mut source = Values::default();
+        let mut values = Values::default();
+        let mut versions: Vec<Bytes> = Vec::new();
+        for (revision, (seed, cut, most)) in steps.iter().enumerate() {
+            let mut content = text(*seed, 60_000);
+            content.truncate(60_000 - cut * 500);
+            let value = Bytes::from(content);
+            source.keep(&value);
+            versions.push(value.clone());
+            values.offer(deferred(revision as u64, &value));
+            fetch(&mut values, &source, *most);
+            if let Some((done, content)) = values.complete() {
+                let version = usize::try_from(done.revision).expect("few versions");
+                prop_assert_eq!(&content, &versions[version]);
+                values.finish(&done);
+                values.keep(&content);
+            }
+        }
+        let mut last = None;
+        for _ in 0..400 {
+            if let Some((done, content)) = values.complete() {
+                values.finish(&done);
+                values.keep(&content);
+                last = Some(done.revision);
+            } else if fetch(&mut values, &source, 5) == 0 {
+                values.skip();
+            }
+        }
+        prop_assert!(!values.is_fetching());
+        prop_assert!(last.is_none_or(|last| last == steps.len() as u64 - 1));
+    }
+}
