Let nothing wait behind a large value of the store

Callers' requests reached servers up to 8 s after they had left, ran by configurations 8 s old, and two thirds were late, while a configuration of up to 1 MB was on its way to VMs with 10 Mbit/s.

Cause: one response carried the configuration whole with all other changes, and had 0.4 s (leader), 0.8 s (other VMs) or 0.9 s (store) as a whole. What did not fit was thrown away and asked for anew, here and there and for ever; meanwhile the VM heard of nothing and its link was full.

Parts follow in responses of 32 KiB, one at a time, from any VM that has them, under at most half of the sender's link; what has arrived stays of use. The store is listed by groups of keys, urgent ones first; while a large response to a watch arrives, evacuations and servers are watched beside it. Times count between two steps of a response. Large values are decoded beside the thread that serves requests.

--- a/crates/entry/src/catch_up.rs
+++ b/crates/entry/src/catch_up.rs
@@ -58,14 +58,15 @@
 }
 
 /// Fetches the states that requests wait for, one after the other.
-pub async fn run<S: Store>(state: Rc<State>, store: S) {
+pub async fn run<S: Store>(state: Rc<State>) {
     let catch_up = &state.catch_up;
     loop {
         catch_up.is_wanted.notified().await;
         let Some(addr) = catch_up.wanted.take() else {
             continue;
         };
-        let has_news = sync::fetch_from(&state, &store, addr, WAIT).await;
+        let has_news = sync::fetch_from::<S>(&state, addr, WAIT).await;
+        state.bulk.wait_idle(WAIT).await;
         if !has_news {
             catch_up.failed_at.set(Some(Instant::now()));
         }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,6 +12,7 @@
 
 use crate::accept::{self, Listener};
 use crate::announce;
+use crate::bulk;
 use crate::caller::Role;
 use crate::catch_up;
 use crate::names::Names;
@@ -123,9 +124,10 @@
 
 /// Starts the tasks that keep the state up to date and exchange it with other entry VMs.
 fn start_tasks<S: Store + 'static>(state: &Rc<State>, store: &S) {
-    let decoder = store.new_client();
-    keep_running(state, "catch-up", move |state| {
-        catch_up::run(state, decoder.new_client())
+    keep_running(state, "catch-up", catch_up::run::<S>);
+    let fetcher = store.new_client();
+    keep_running(state, "bulk", move |state| {
+        bulk::run(state, fetcher.new_client())
     });
     let reader = store.new_client();
     keep_running(state, "sync", move |state| {
--- a/crates/entry/src/fixture.rs
+++ b/crates/entry/src/fixture.rs
@@ -33,6 +33,7 @@
         seeds: Vec::new(),
         memory_bytes: 64 << 20,
         capacity: 1,
+        link_bytes_per_s: 125e6,
         max_sockets: 100,
         bounds: Bounds {
             grace: Duration::from_secs(2),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,10 +9,12 @@
 mod ask;
 mod balance;
 mod body;
+mod bulk;
 mod caller;
 mod catch_up;
 mod daemon;
 mod dispatch;
+mod exchange;
 #[cfg(test)]
 mod fixture;
 mod gauges;
@@ -52,4 +54,4 @@
 pub use response::Refusal;
 pub use settings::{Bounds, Listen, Settings};
 pub use snapshot::Snapshot;
-pub use store::{Batch, Page, Record, Store, StoreError};
+pub use store::{Batch, Group, Page, Record, Store, StoreError};
--- a/crates/entry/src/register/tests.rs
+++ b/crates/entry/src/register/tests.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use fleet::{Item, Phase, Registration};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -107,7 +108,7 @@
         let key = "servers/i-1".to_owned();
         let record = Record {
             key,
-            value,
+            value: value.map(Bytes::from),
             revision,
         };
         (record, item)
--- a/crates/entry/src/replica.rs
+++ b/crates/entry/src/replica.rs
@@ -70,6 +70,16 @@
         }
     }
 
+    /// Returns whether a later change of the same key is known than `change`.
+    #[must_use]
+    pub fn knows_later(&self, change: &Record) -> bool {
+        let known = self.keys.get(&change.key).map(|(record, _)| record);
+        let removed = self.removed.iter().rev();
+        let removed = removed.filter(|removed| removed.key == change.key);
+        let mut later = known.into_iter().chain(removed);
+        later.any(|record| record.revision > change.revision)
+    }
+
     /// Returns the names of all keys.
     #[must_use]
     pub fn names(&self) -> HashSet<String> {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -25,6 +25,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Memory of the process, in bytes.
     pub memory_bytes: u64,
+    /// Rate of its link, in bytes a second.
+    pub link_bytes_per_s: f64,
     /// Capacity of the link and the processor, compared with other VMs'.
     pub capacity: u32,
     /// Number of descriptors that sockets may use.
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -3,16 +3,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use event::Event;
-use fleet::restore::Position;
+use fleet::parts::{Deferred, LARGE_BYTES};
+use fleet::restore::{Extent, Position};
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::time::timeout;
 
-use crate::body::Collector;
-use crate::head::{Fields, Request, Response};
+use crate::bulk;
+use crate::exchange::Connection;
+use crate::head::{Fields, Request};
 use crate::response::{Refusal, Reply};
 use crate::state::State;
 use crate::store::Record;
@@ -28,16 +27,14 @@
 /// Header of a response: time for which the sender has followed the store without a gap, in milliseconds.
 const STEADY: &str = "Teaseldoor-Steady-Ms";
 
+/// Header of a request: its sender takes the names of a large value's parts for the value. Header of a response:
+/// large values follow the snapshot in this form.
+const PARTS: &str = "Teaseldoor-Parts";
+
 /// Age from which on a VM's state is stale, in milliseconds: a pause and a watch of a leader, and a slow
 /// response.
 pub const STALE_MS: u64 = 1_000;
 
-/// Largest response, in bytes.
-const MAX_BYTES: u64 = 8 << 20;
-
-/// Largest head of a response, in bytes.
-const MAX_HEAD_BYTES: usize = 4 << 10;
-
 /// The store's keys as an entry VM knows them.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -61,6 +58,10 @@
 pub struct Fetched {
     /// The snapshot.
     pub snapshot: Snapshot,
+    /// Large values that the snapshot leaves out.
+    pub deferred: Vec<Deferred>,
+    /// Who sent it.
+    pub from: SocketAddr,
     /// Era of the store that it is of; absent if the sender names none.
     pub era: Option<u64>,
     /// Time for which the sender has followed the store without a gap, in milliseconds; absent if it does
@@ -71,6 +72,9 @@
 /// Answers the request of another entry VM.
 #[must_use]
 pub fn answer(state: &State, head: &Request) -> Reply {
+    if let Some(ids) = bulk::requested(head) {
+        return bulk::answer(state, ids);
+    }
     let target = std::str::from_utf8(&head.target).unwrap_or_default();
     let Some(after) = target
         .strip_prefix(PATH)
@@ -82,9 +86,23 @@
         return Reply::refused(Refusal::Starting);
     };
     let known = era_of(&head.fields);
-    match postcard::to_stdvec(&snapshot(state, known, after, read_at)) {
+    let takes_parts = head.fields.get(PARTS).is_some();
+    let mut snapshot = snapshot(state, known, after, read_at);
+    // Earlier versions take values whole, so they have to ask a VM that has them.
+    if !takes_parts && state.bulk.values.borrow().is_fetching() {
+        return Reply::refused(Refusal::Starting);
+    }
+    let deferred = takes_parts.then(|| defer(state, &mut snapshot, known, after));
+    let encoded = postcard::to_stdvec(&snapshot).and_then(|bytes| match &deferred {
+        Some(deferred) => postcard::to_extend(deferred, bytes),
+        None => Ok(bytes),
+    });
+    match encoded {
         Ok(bytes) => {
             let mut reply = Reply::with_status(200, None, Bytes::from(bytes));
+            if takes_parts {
+                reply.add_header(PARTS, "1");
+            }
             let era = state.position().era;
             if era > 0 {
                 reply.add_header(ERA, &era.to_string());
@@ -131,13 +149,41 @@
     }
 }
 
+/// Takes large values out of a snapshot, and returns their parts, with those of values that are still being
+/// fetched.
+fn defer(state: &State, snapshot: &mut Snapshot, era: Option<u64>, after: u64) -> Vec<Deferred> {
+    let values = state.bulk.values.borrow();
+    if state.eras().extent(era, after) == Extent::Nothing {
+        return Vec::new();
+    }
+    let is_complete = snapshot.is_complete;
+    let pending = values.deferred();
+    let pending = pending.filter(|pending| is_complete || pending.revision > after);
+    let mut deferred: Vec<Deferred> = pending.cloned().collect();
+    let is_pending = |record: &Record| values.deferred().any(|pending| pending.key == record.key);
+    let is_large = |record: &Record| {
+        let bytes = record.value.as_ref().map_or(0, Bytes::len);
+        bytes >= LARGE_BYTES || is_pending(record)
+    };
+    for record in snapshot.items.extract_if(.., |record| is_large(record)) {
+        if let Some(value) = record.value.as_ref().filter(|_| !is_pending(&record)) {
+            deferred.push(Deferred {
+                manifest: values.manifest(value),
+                key: record.key,
+                revision: record.revision,
+            });
+        }
+    }
+    deferred
+}
+
 /// Returns `span` in whole milliseconds.
 #[must_use]
 pub fn to_millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Requests the changes after `known` from the entry VM at `addr`, and waits at most `limit`.
+/// Requests the changes after `known` from the entry VM at `addr`; each step may take up to `limit`.
 ///
 /// # Errors
 ///
@@ -149,9 +195,7 @@
     limit: Duration,
 ) -> Result<Fetched, String> {
     let progress = Progress::default();
-    let fetched = timeout(limit, exchange(addr, known, &progress)).await;
-    let fetched = fetched.map_err(|_| "no response in time".to_owned());
-    let fetched = fetched.flatten();
+    let fetched = exchange(addr, known, limit, &progress).await;
     let age_ms = fetched.as_ref().ok().map(|fetched| fetched.snapshot.age_ms);
     state.note_transfer(Purpose::Snapshot, &addr.to_string(), &progress, age_ms);
     fetched
@@ -160,65 +204,30 @@
 async fn exchange(
     addr: SocketAddr,
     known: Position,
+    limit: Duration,
     progress: &Progress,
 ) -> Result<Fetched, String> {
-    let text = |error: std::io::Error| error.to_string();
-    let mut stream = TcpStream::connect(addr).await.map_err(text)?;
+    let mut connection = Connection::open(addr, limit).await?;
     let Position { era, revision } = known;
     let era = if era > 0 {
         format!("{ERA}: {era}\r\n")
     } else {
         String::new()
     };
-    let head =
-        format!("GET {PATH}{revision} HTTP/1.1\r\nHost: {addr}\r\n{era}Connection: close\r\n\r\n");
-    stream.write_all(head.as_bytes()).await.map_err(text)?;
-    let mut buffer = BytesMut::new();
-    let mut body = None;
-    let (mut sent_era, mut steady_ms) = (None, None);
-    loop {
-        if stream.read_buf(&mut buffer).await.map_err(text)? == 0 {
-            return Err("connection closed before the response was complete".to_owned());
-        }
-        if body.is_none() {
-            let head = take_head(&mut buffer)?;
-            if let Some(head) = head {
-                sent_era = era_of(&head.fields);
-                steady_ms = number(&head.fields, STEADY);
-                let collector = collector(&head)?;
-                progress.note_expected(collector.expected_len());
-                body = Some(collector);
-            }
-        }
-        if let Some(body) = &mut body {
-            body.take(&mut buffer)
-                .map_err(|_| "malformed or oversized body".to_owned())?;
-            progress.note_received(body.len() as u64);
-        }
-        if let Some(body) = body.take_if(|body| body.is_complete()) {
-            let snapshot = postcard::from_bytes(&body.into_body());
-            let snapshot = snapshot.map_err(|error| error.to_string())?;
-            return Ok(Fetched {
-                snapshot,
-                era: sent_era,
-                steady_ms,
-            });
-        }
-    }
-}
-
-fn take_head(buffer: &mut BytesMut) -> Result<Option<Response>, String> {
-    let head = Response::take(buffer, MAX_HEAD_BYTES);
-    head.map_err(|_| "malformed or oversized head".to_owned())
-}
-
-fn collector(head: &Response) -> Result<Collector, String> {
-    if head.status != 200 {
-        return Err(format!("status {}", head.status));
-    }
-    let framing = head
-        .framing(false)
-        .map_err(|_| "ambiguous framing".to_owned())?;
-    let collector = Collector::new(framing, MAX_BYTES);
-    collector.map_err(|_| "body too large".to_owned())
+    let fields = format!("{era}{PARTS}: 1\r\nConnection: close\r\n");
+    let target = format!("{PATH}{revision}");
+    let (head, body) = connection.get(&target, &fields, progress).await?;
+    let text = |error: postcard::Error| error.to_string();
+    let (snapshot, rest) = postcard::take_from_bytes(&body).map_err(text)?;
+    let deferred = match head.fields.get(PARTS) {
+        Some(_) => postcard::from_bytes(rest).map_err(text)?,
+        None => Vec::new(),
+    };
+    Ok(Fetched {
+        snapshot,
+        deferred,
+        from: addr,
+        era: era_of(&head.fields),
+        steady_ms: number(&head.fields, STEADY),
+    })
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::ask::Asks;
+use crate::bulk::Bulk;
 use crate::catch_up::CatchUp;
 use crate::leaving::Leaving;
 use crate::memory::{Pool, ResponseSizes};
@@ -121,6 +122,8 @@
     pub(crate) roster: RefCell<Roster>,
     /// Requests that wait for the state of another VM.
     pub(crate) catch_up: CatchUp,
+    /// Large values of the store.
+    pub(crate) bulk: Bulk,
     /// Keys as the store has them, for entry VMs that do not read the store.
     pub(crate) replica: RefCell<Replica>,
     /// Announced VMs of this zone, as the store has them.
@@ -199,6 +202,7 @@
         let (phase, _) = watch::channel(Phase::Serving);
         let membership = peers::membership(&settings);
         let body_memory = Pool::new(settings.memory_bytes);
+        let bulk = Bulk::new(settings.link_bytes_per_s);
         Self {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -238,6 +242,7 @@
             config_position: Cell::default(),
             roster: RefCell::default(),
             catch_up: CatchUp::default(),
+            bulk,
             replica: RefCell::default(),
             announced: RefCell::default(),
             announcement_due: Notify::new(),
@@ -333,6 +338,11 @@
         self.complete_until.set(reading.sent_at);
     }
 
+    /// Records that what is urgent is known as of `read_at`, while a large value is on its way.
+    pub fn note_urgent(&self, read_at: Instant) {
+        self.read_at.set(Some(read_at));
+    }
+
     /// Records that the next changes may be old: a listing contains heartbeats that the leader left
     /// out before.
     pub fn clear_complete_until(&self) {
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use fleet::Item;
 use serde::{Deserialize, Serialize};
 
@@ -13,7 +14,7 @@
     /// The key.
     pub key: String,
     /// The value; absent if the key was removed.
-    pub value: Option<Vec<u8>>,
+    pub value: Option<Bytes>,
     /// Revision of its last change.
     pub revision: u64,
 }
@@ -75,18 +76,55 @@
 
 impl std::error::Error for StoreError {}
 
+/// Keys that are read together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    /// All keys.
+    All,
+    /// The announced entry VMs.
+    Members,
+    /// The evacuated zones.
+    Evacuations,
+    /// The backend servers.
+    Servers,
+    /// The configuration, which may be large.
+    Config,
+}
+
+impl Group {
+    /// The groups of a listing, in an order in which nothing urgent waits for what may be large.
+    pub const LISTED: [Self; 4] = [
+        Self::Evacuations,
+        Self::Servers,
+        Self::Members,
+        Self::Config,
+    ];
+
+    /// The groups whose changes must not wait for a large value.
+    pub const URGENT: [Self; 2] = [Self::Evacuations, Self::Servers];
+}
+
 /// Client of the platform's store. Each client makes one call at a time.
 pub trait Store {
-    /// Returns the keys that follow `after`.
+    /// Returns the keys of `group` that follow `after`.
     fn list(
         &mut self,
+        group: Group,
         after: &str,
         progress: &Progress,
     ) -> impl Future<Output = Result<Page, StoreError>>;
 
-    /// Returns the changes after `revision`, as soon as there are any or `wait` has passed.
+    /// Returns `key`.
+    fn get(
+        &mut self,
+        key: &str,
+        progress: &Progress,
+    ) -> impl Future<Output = Result<Page, StoreError>>;
+
+    /// Returns the changes of `group` after `revision`, as soon as there are any or `wait` has passed.
     fn watch(
         &mut self,
+        group: Group,
         revision: u64,
         wait: Duration,
         progress: &Progress,
@@ -101,7 +139,7 @@
     ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
 
     /// Decodes a record.
-    fn decode(&self, record: &Record) -> Item;
+    fn decode(record: &Record) -> Item;
 
     /// Returns another client, for concurrent calls.
     #[must_use]
--- a/crates/entry/src/supervise/tests.rs
+++ b/crates/entry/src/supervise/tests.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use fleet::{Config, Item, Version};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::keep_running;
 use crate::fixture::{run_local, state};
-use crate::store::{Batch, Page, Record, Store, StoreError};
+use crate::store::{Batch, Group, Page, Record, Store, StoreError};
 use crate::sync;
 use crate::transfer::Progress;
 
@@ -26,7 +27,7 @@
     fn records(revision: u64) -> Vec<Record> {
         let record = |key: &str| Record {
             key: key.to_owned(),
-            value: Some(Vec::new()),
+            value: Some(Bytes::new()),
             revision,
         };
         vec![record(BAD), record("config")]
@@ -34,7 +35,12 @@
 }
 
 impl Store for FaultyStore {
-    async fn list(&mut self, _after: &str, _progress: &Progress) -> Result<Page, StoreError> {
+    async fn list(
+        &mut self,
+        _group: Group,
+        _after: &str,
+        _progress: &Progress,
+    ) -> Result<Page, StoreError> {
         Ok(Page {
             items: Self::records(1),
             has_more: false,
@@ -45,6 +51,7 @@
 
     async fn watch(
         &mut self,
+        _group: Group,
         revision: u64,
         _wait: Duration,
         _progress: &Progress,
@@ -56,11 +63,15 @@
         })
     }
 
+    async fn get(&mut self, _key: &str, _progress: &Progress) -> Result<Page, StoreError> {
+        Err(StoreError::NotFound)
+    }
+
     async fn announce(&mut self, _zone: &str, _bytes: &[u8]) -> Result<Option<u64>, StoreError> {
         Ok(None)
     }
 
-    fn decode(&self, record: &Record) -> Item {
+    fn decode(record: &Record) -> Item {
         assert_ne!(record.key, BAD, "planted failure");
         Item::Config(Box::new(Config {
             version: Version(record.revision),
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -14,6 +14,7 @@
 //! lists all keys once more; the decisions about what to keep are in [`fleet::restore`].
 
 use std::cmp::Ordering;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -28,12 +29,12 @@
 
 use crate::snapshot::{self, STALE_MS};
 use crate::state::{Reading, State};
-use crate::store::{Page, Record, Store, StoreError};
+use crate::store::{Batch, Group, Page, Record, Store, StoreError};
 use crate::transfer::{Progress, Purpose};
 
 mod changes;
 
-use changes::{apply, apply_snapshot, enter_era, expire_missing, is_newer, replace};
+use changes::{apply, apply_snapshot, enter_era, expire_missing, is_newer, keys, replace};
 
 /// Pause between two watches. Followers add their own interval, and the sum has to stay well below
 /// the two seconds within which changes take effect.
@@ -87,6 +88,9 @@
 /// Interval between two fetches from the leader.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time for which a large response may take up a link before urgent keys are watched beside it.
+const LARGE_GRACE: Duration = Duration::from_millis(150);
+
 /// Name of the store as the source of a response.
 const STORE: &str = "store";
 
@@ -99,6 +103,7 @@
         unreachable_since: None,
         failures: 0,
         next_call: Instant::now(),
+        urgent_until: 0,
     };
     loop {
         let pause = reader.update(&mut store).await;
@@ -128,23 +133,25 @@
     failures: u32,
     /// When the store may be called again after a failure.
     next_call: Instant,
+    /// Revision up to which urgent keys were read beside a large response.
+    urgent_until: u64,
 }
 
 impl Reader<'_> {
     /// Updates the state once; returns the pause until the next update.
     async fn update<S: Store>(&mut self, store: &mut S) -> Duration {
-        if self.follow(store).await {
+        if self.follow::<S>().await {
             return FOLLOW_INTERVAL;
         }
         if self.is_waiting_for_seeds() {
             return SHORT_PAUSE;
         }
         if !self.may_call_store() {
-            match self.fetch_from_zone(store).await {
+            match self.fetch_from_zone::<S>().await {
                 Outcome::Recent => return FOLLOW_INTERVAL,
                 Outcome::Unreachable if self.may_replace_readers() => {}
                 Outcome::Stale | Outcome::Unreachable => {
-                    self.fetch_from_peers(store).await;
+                    self.fetch_from_peers::<S>().await;
                     return self.pause_without_call();
                 }
             }
@@ -163,7 +170,7 @@
             Err(error) => {
                 self.state.metrics.note_store_call("changes", false);
                 self.note_failure(&error);
-                self.fetch_from_peers(store).await;
+                self.fetch_from_peers::<S>().await;
                 RETRY_DELAY
             }
         }
@@ -214,20 +221,20 @@
     }
 
     /// Applies the leader's snapshot; returns whether it is recent.
-    async fn follow<S: Store>(&mut self, store: &S) -> bool {
+    async fn follow<S: Store>(&mut self) -> bool {
         let Some(leader) = self.state.leader() else {
             return false;
         };
-        self.fetch_recent(store, leader).await == Outcome::Recent
+        self.fetch_recent::<S>(leader).await == Outcome::Recent
     }
 
     /// Applies the snapshot of one of the first ranks of the zone, if it is recent.
-    async fn fetch_from_zone<S: Store>(&mut self, store: &S) -> Outcome {
+    async fn fetch_from_zone<S: Store>(&mut self) -> Outcome {
         let addrs = self.state.membership.borrow().highest_state_addrs(READERS);
         let leader = self.state.leader();
         let mut fetched = Outcome::Unreachable;
         for addr in addrs.into_iter().filter(|addr| Some(*addr) != leader) {
-            match self.fetch_recent(store, addr).await {
+            match self.fetch_recent::<S>(addr).await {
                 Outcome::Recent => return Outcome::Recent,
                 Outcome::Stale => fetched = Outcome::Stale,
                 Outcome::Unreachable => {}
@@ -237,11 +244,11 @@
     }
 
     /// Applies the snapshot of the VM at `addr` in this zone, if it is recent.
-    async fn fetch_recent<S: Store>(&mut self, store: &S, addr: SocketAddr) -> Outcome {
+    async fn fetch_recent<S: Store>(&mut self, addr: SocketAddr) -> Outcome {
         let sent_at = Instant::now();
         match snapshot::fetch(self.state, addr, self.state.position(), LEADER_TIMEOUT).await {
             Ok(fetched) if fetched.snapshot.age_ms < STALE_MS => {
-                if !apply_snapshot(self.state, store, fetched, sent_at) {
+                if !apply_snapshot::<S>(self.state, fetched, sent_at) {
                     return Outcome::Stale;
                 }
                 self.is_listed = true;
@@ -262,7 +269,7 @@
         if !self.is_listed {
             let listing = list(self.state, store).await?;
             let is_start = self.state.read_at().is_none() && listing.era.is_some();
-            let has_learned = is_start && self.learn_from_peer(store).await;
+            let has_learned = is_start && self.learn_from_peer::<S>().await;
             let order = self.state.eras().compare(listing.era);
             let era = listing.era.unwrap_or_default();
             match order {
@@ -272,7 +279,8 @@
                     let revision = listing.revision;
                     let until = Instant::now() + REJOIN_GRACE;
                     let position = Position { era, revision };
-                    enter_era(self.state, store, listing.items, position, true, until);
+                    let listed = keys(&listing.items, &[]);
+                    enter_era::<S>(self.state, listing.items, &listed, position, true, until);
                     self.state.set_revision(revision, reading(sent_at));
                 }
                 Ordering::Equal => {
@@ -280,22 +288,17 @@
                     let order = listing.revision.cmp(&self.state.revision());
                     // Another VM's state may have come meanwhile.
                     if order == Ordering::Greater || (order == Ordering::Equal && !has_learned) {
-                        replace(self.state, store, listing.items, listing.revision);
+                        let listed = keys(&listing.items, &[]);
+                        replace::<S>(self.state, listing.items, &listed, listing.revision);
                         self.state.set_revision(listing.revision, reading(sent_at));
                     }
                 }
             }
             self.is_listed = true;
-            expire_missing(self.state, store);
+            expire_missing::<S>(self.state);
             return Ok(());
         }
-        let progress = Progress::default();
-        let batch = store.watch(self.state.revision(), WATCH_WAIT, &progress);
-        let batch = batch.await;
-        let age_ms = batch.is_ok().then_some(0);
-        self.state
-            .note_transfer(Purpose::Changes, STORE, &progress, age_ms);
-        let batch = batch?;
+        let batch = self.watch(store).await?;
         match self.state.eras().compare(batch.era) {
             Ordering::Less => {
                 return Err(StoreError::EarlierEra(batch.era.unwrap_or_default()));
@@ -307,17 +310,62 @@
         self.note_reachable();
         // Another VM's state may have come meanwhile.
         if batch.revision >= self.state.revision() {
-            apply(self.state, store, batch.events);
+            let mut events = batch.events;
+            if self.urgent_until > self.state.revision() {
+                let replica = self.state.replica();
+                events.retain(|event| !replica.knows_later(event));
+            }
+            apply::<S>(self.state, events);
             self.state.set_revision(batch.revision, reading(sent_at));
         }
-        expire_missing(self.state, store);
+        expire_missing::<S>(self.state);
         Ok(())
     }
 
+    /// Waits for changes of all keys. While a large response arrives, urgent keys are watched beside it.
+    async fn watch<S: Store>(&mut self, store: &mut S) -> Result<Batch, StoreError> {
+        let state = self.state;
+        let progress = Progress::default();
+        let mut beside = store.new_client();
+        let watched = store.watch(Group::All, state.revision(), WATCH_WAIT, &progress);
+        let urgent = self.watch_urgent(&mut beside, &progress);
+        let batch = tokio::select! {
+            biased;
+            batch = watched => batch,
+            never = urgent => match never {},
+        };
+        let age_ms = batch.is_ok().then_some(0);
+        state.note_transfer(Purpose::Changes, STORE, &progress, age_ms);
+        batch
+    }
+
+    /// Applies changes of urgent keys from the time on at which the response that `progress` tells of is known
+    /// to be large and takes longer than [`LARGE_GRACE`].
+    async fn watch_urgent<S: Store>(&mut self, store: &mut S, progress: &Progress) -> Infallible {
+        progress.large().await;
+        sleep(LARGE_GRACE).await;
+        let mut known = Group::URGENT.map(|group| (group, self.state.revision()));
+        loop {
+            for (group, revision) in &mut known {
+                let sent_at = Instant::now();
+                let progress = Progress::default();
+                let batch = store.watch(*group, *revision, Duration::ZERO, &progress);
+                let Ok(batch) = batch.await else { continue };
+                if self.state.eras().compare(batch.era).is_eq() && batch.revision >= *revision {
+                    *revision = batch.revision;
+                    self.urgent_until = self.urgent_until.max(batch.revision);
+                    apply::<S>(self.state, batch.events);
+                    self.state.note_urgent(sent_at);
+                }
+            }
+            sleep(WATCH_PAUSE).await;
+        }
+    }
+
     /// Takes the state of another VM when this one has just started, before its first listing is
     /// applied. If the store was restored a moment ago, the copy has keys again that were withdrawn, and
     /// lacks others; the other VMs remember. Returns whether there was one.
-    async fn learn_from_peer<S: Store>(&mut self, store: &S) -> bool {
+    async fn learn_from_peer<S: Store>(&mut self) -> bool {
         let settings = &self.state.settings;
         let mut addrs = self.state.membership.borrow().highest_state_addrs(READERS);
         addrs.extend(settings.seeds.iter().copied());
@@ -330,7 +378,7 @@
             if let Ok(fetched) = fetched
                 && fetched.era.is_some()
             {
-                return apply_snapshot(self.state, store, fetched, sent_at);
+                return apply_snapshot::<S>(self.state, fetched, sent_at);
             }
         }
         false
@@ -391,13 +439,13 @@
         }
     }
 
-    async fn fetch_from_peers<S: Store>(&mut self, store: &S) {
+    async fn fetch_from_peers<S: Store>(&mut self) {
         let mut addrs = self.state.peers_ahead();
         if self.state.revision() == 0 {
             addrs.extend(self.state.settings.seeds.iter().copied());
         }
         for addr in addrs.into_iter().take(MAX_FETCHES) {
-            if fetch_from(self.state, store, addr, PEER_TIMEOUT).await {
+            if fetch_from::<S>(self.state, addr, PEER_TIMEOUT).await {
                 self.is_listed = true;
                 return;
             }
@@ -407,15 +455,10 @@
 
 /// Takes over the state of the VM whose state service is at `addr` if it is later than the known one and
 /// arrives within `limit`; returns whether it did.
-pub async fn fetch_from<S: Store>(
-    state: &State,
-    store: &S,
-    addr: SocketAddr,
-    limit: Duration,
-) -> bool {
+pub async fn fetch_from<S: Store>(state: &State, addr: SocketAddr, limit: Duration) -> bool {
     let sent_at = Instant::now();
     match snapshot::fetch(state, addr, state.position(), limit).await {
-        Ok(fetched) if is_newer(state, &fetched) => apply_snapshot(state, store, fetched, sent_at),
+        Ok(fetched) if is_newer(state, &fetched) => apply_snapshot::<S>(state, fetched, sent_at),
         Ok(_) => false,
         Err(error) => {
             event::emit(&Event::NeighbourUnreachable { addr, error });
@@ -440,39 +483,51 @@
     era: Option<u64>,
 }
 
-/// Lists all keys of the store.
+/// Lists all keys of the store, urgent ones first.
 async fn list<S: Store>(state: &State, store: &mut S) -> Result<Listing, StoreError> {
-    let first = list_page(state, store, "").await?;
-    let (revision, era) = (first.revision, first.era);
-    let mut has_more = first.has_more;
-    let mut items = first.items;
-    while has_more {
-        let after = items
-            .last()
-            .map(|record| record.key.clone())
-            .unwrap_or_default();
-        let page = list_page(state, store, &after).await?;
-        if page.era != era {
-            // The store was restored between two pages.
-            return Err(StoreError::Compacted);
+    let mut listing: Option<Listing> = None;
+    for group in Group::LISTED {
+        let mut after = String::new();
+        loop {
+            let page = list_page(state, store, group, &after).await?;
+            let listing = listing.get_or_insert_with(|| Listing {
+                items: Vec::new(),
+                revision: page.revision,
+                era: page.era,
+            });
+            if page.era != listing.era {
+                // The store was restored between two pages.
+                return Err(StoreError::Compacted);
+            }
+            let Some(last) = page.items.last() else { break };
+            after.clone_from(&last.key);
+            apply_urgent::<S>(state, group, &page);
+            listing.items.extend(page.items);
+            if !page.has_more {
+                break;
+            }
         }
-        has_more = page.has_more && !page.items.is_empty();
-        items.extend(page.items);
     }
-    Ok(Listing {
-        items,
-        revision,
-        era,
-    })
+    listing.ok_or(StoreError::Compacted)
+}
+
+/// Applies a page of urgent keys at once, while the rest of the listing may take long. Without a configuration
+/// there are no requests for which they matter.
+fn apply_urgent<S: Store>(state: &State, group: Group, page: &Page) {
+    let is_urgent = Group::URGENT.contains(&group);
+    if is_urgent && state.config().is_some() && state.eras().compare(page.era).is_eq() {
+        apply::<S>(state, page.items.clone());
+    }
 }
 
 async fn list_page<S: Store>(
     state: &State,
     store: &mut S,
+    group: Group,
     after: &str,
 ) -> Result<Page, StoreError> {
     let progress = Progress::default();
-    let page = store.list(after, &progress).await;
+    let page = store.list(group, after, &progress).await;
     let age_ms = page.is_ok().then_some(0);
     state.note_transfer(Purpose::Listing, STORE, &progress, age_ms);
     page
--- a/crates/entry/src/sync/changes.rs
+++ b/crates/entry/src/sync/changes.rs
@@ -5,9 +5,11 @@
 
 use event::Event;
 use fleet::Item;
+use fleet::parts::{Deferred, LARGE_BYTES};
 use fleet::restore::{Position, Verdict};
 use fleet::roster::REJOIN_GRACE;
 
+use crate::bulk;
 use crate::snapshot::{Fetched, to_millis};
 use crate::state::{MIN_GAP, Reading, State};
 use crate::store::{Record, Store};
@@ -31,19 +33,20 @@
 /// Applies the snapshot of another entry VM, requested at `sent_at`; returns false if it is of an earlier
 /// era. Registrations that the sender still waits for after an outage are waited for here too, unless
 /// this VM had news of the store all the time.
-pub fn apply_snapshot<S: Store>(
-    state: &State,
-    store: &S,
-    fetched: Fetched,
-    sent_at: Instant,
-) -> bool {
+pub fn apply_snapshot<S: Store>(state: &State, fetched: Fetched, sent_at: Instant) -> bool {
     let verdict = judge(state, &fetched);
     if verdict == Verdict::Unusable {
         return false;
     }
     let now = Instant::now();
     state.note_witness(&fetched, now);
-    let Fetched { snapshot, era, .. } = fetched;
+    let Fetched {
+        snapshot,
+        deferred,
+        from,
+        era,
+        ..
+    } = fetched;
     let is_behind = state
         .read_at()
         .is_none_or(|at| now.duration_since(at) >= MIN_GAP);
@@ -66,22 +69,29 @@
                 era: era.unwrap_or_default(),
                 revision: snapshot.revision,
             };
-            enter_era(state, store, snapshot.items, position, false, now + grace);
+            let listed = keys(&snapshot.items, &deferred);
+            enter_era::<S>(state, snapshot.items, &listed, position, false, now + grace);
+        }
+        _ if snapshot.is_complete => {
+            let listed = keys(&snapshot.items, &deferred);
+            replace::<S>(state, snapshot.items, &listed, snapshot.revision);
         }
-        _ if snapshot.is_complete => replace(state, store, snapshot.items, snapshot.revision),
-        _ => apply(state, store, snapshot.items),
+        _ => apply::<S>(state, snapshot.items),
+    }
+    for deferred in deferred {
+        state.offer(deferred, from);
     }
     let reading = Reading {
         sent_at: before(sent_at, snapshot.query_age_ms),
         answered_at: before(now, snapshot.age_ms).unwrap_or(now),
     };
     state.set_revision(snapshot.revision, reading);
-    expire_missing(state, store);
+    expire_missing::<S>(state);
     true
 }
 
 /// Removes the keys that nobody wrote again after a restore of the store.
-pub fn expire_missing<S: Store>(state: &State, store: &S) {
+pub fn expire_missing<S: Store>(state: &State) {
     let removed = state.grace.borrow_mut().expire(state.complete_until());
     // The store has no revision for these removals. VMs that follow this one ask for changes after the
     // present revision, so the removals count as later.
@@ -91,7 +101,7 @@
         value: None,
         revision,
     });
-    apply(state, store, removed.collect());
+    apply::<S>(state, removed.collect());
 }
 
 /// Returns the time `ms` milliseconds before `at`, or `None` if the clock began later.
@@ -99,57 +109,53 @@
     at.checked_sub(Duration::from_millis(ms))
 }
 
-/// Applies changes of the store. One that fails is left out, so that it does not cost the others.
-pub fn apply<S: Store>(state: &State, store: &S, items: Vec<Record>) {
+/// Applies changes of the store. One that fails is left out, so that it does not cost the others. A large
+/// value is applied later, once it is decoded.
+pub fn apply<S: Store>(state: &State, items: Vec<Record>) {
     for record in items {
         let key = record.key.clone();
-        let applied = supervise::guard(state, "apply", || apply_record(state, store, record));
+        if let Some(value) = record
+            .value
+            .as_ref()
+            .filter(|value| value.len() >= LARGE_BYTES)
+        {
+            state.offer_whole(key, value, record.revision);
+            continue;
+        }
+        state.bulk.values.borrow_mut().forget(&key);
+        let applied = supervise::guard(state, "apply", || apply_record::<S>(state, record));
         if let Err(problem) = applied {
             event::emit(&Event::KeyUnreadable { key, problem });
         }
     }
 }
 
-fn apply_record<S: Store>(state: &State, store: &S, record: Record) {
-    let bytes = record.value.as_ref().map_or(0, Vec::len);
+fn apply_record<S: Store>(state: &State, record: Record) {
     let began = Instant::now();
-    let item = store.decode(&record);
-    let decoded = Instant::now();
-    let version = match &item {
-        Item::Config(config) if config.version > state.version() => Some(config.version),
-        _ => None,
-    };
-    state.apply(record, item);
-    if let Some(version) = version {
-        event::emit(&Event::ConfigApplied {
-            revision: version.0,
-            bytes: bytes as u64,
-            decode_ms: to_millis(decoded.duration_since(began)),
-            apply_ms: to_millis(decoded.elapsed()),
-        });
-    }
+    let item = S::decode(&record);
+    bulk::apply_item(state, record, item, to_millis(began.elapsed()));
 }
 
-/// Replaces all known keys by `items` of a later era.
+/// Replaces all known keys by those in `listed` of a later era, and applies `items`.
 pub fn enter_era<S: Store>(
     state: &State,
-    store: &S,
     items: Vec<Record>,
+    listed: &HashSet<String>,
     position: Position,
     is_own_listing: bool,
     until: Instant,
 ) {
     state.clear_complete_until();
-    let listed = keys(&items);
-    forget_announcement(state, store, &listed);
-    state.begin_era(position, &listed, is_own_listing, until);
-    apply(state, store, items);
+    state.bulk.values.borrow_mut().forget_all();
+    forget_announcement::<S>(state, listed);
+    state.begin_era(position, listed, is_own_listing, until);
+    apply::<S>(state, items);
     state.announcement_due.notify_one();
 }
 
 /// Forgets which VMs of the zone are announced if the store does not have their key, so that they are
 /// announced again.
-fn forget_announcement<S: Store>(state: &State, store: &S, listed: &HashSet<String>) {
+fn forget_announcement<S: Store>(state: &State, listed: &HashSet<String>) {
     let missing = state.replica().unlisted(listed);
     let is_own = |key: String| {
         let record = Record {
@@ -157,28 +163,41 @@
             value: None,
             revision: 0,
         };
-        matches!(store.decode(&record), Item::Members { zone, .. } if zone == state.settings.zone)
+        matches!(S::decode(&record), Item::Members { zone, .. } if zone == state.settings.zone)
     };
     if missing.into_iter().any(is_own) {
         state.announced.borrow_mut().clear();
     }
 }
 
-fn keys(items: &[Record]) -> HashSet<String> {
-    items.iter().map(|record| record.key.clone()).collect()
+/// Returns the names of the keys of a snapshot or a listing.
+#[must_use]
+pub fn keys(items: &[Record], deferred: &[Deferred]) -> HashSet<String> {
+    let items = items.iter().map(|record| record.key.clone());
+    let deferred = deferred.iter().map(|deferred| deferred.key.clone());
+    items.chain(deferred).collect()
 }
 
-/// Replaces all known keys by `items`.
-pub fn replace<S: Store>(state: &State, store: &S, items: Vec<Record>, revision: u64) {
+/// Replaces all known keys by those in `listed`, and applies `items`.
+pub fn replace<S: Store>(
+    state: &State,
+    items: Vec<Record>,
+    listed: &HashSet<String>,
+    revision: u64,
+) {
     state.clear_complete_until();
-    let listed: HashSet<String> = items.iter().map(|record| record.key.clone()).collect();
-    let unlisted = state.replica().unlisted(&listed);
+    let unlisted = state.replica().unlisted(listed);
+    state
+        .bulk
+        .values
+        .borrow_mut()
+        .retain(|key| listed.contains(key));
     let removed = unlisted.into_iter().map(|key| Record {
         key,
         value: None,
         revision,
     });
-    apply(state, store, removed.collect());
-    apply(state, store, items);
+    apply::<S>(state, removed.collect());
+    apply::<S>(state, items);
     state.note_listed(revision);
 }
--- a/crates/entry/src/sync/tests.rs
+++ b/crates/entry/src/sync/tests.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use fleet::report::{Announced, Announcement};
 use fleet::{Item, Phase, Registration};
 use tokio::task::spawn_local;
@@ -15,7 +16,7 @@
 use crate::caller::Role;
 use crate::fixture::{run_local, state};
 use crate::state::{MIN_GAP, Reading, State};
-use crate::store::{Batch, Page, Record, Store, StoreError};
+use crate::store::{Batch, Group, Page, Record, Store, StoreError};
 use crate::transfer::Progress;
 
 mod slow_link;
@@ -37,7 +38,7 @@
 struct OneKey(Rc<Cell<Mode>>);
 
 impl OneKey {
-    fn record(value: Option<Vec<u8>>, revision: u64) -> Record {
+    fn record(value: Option<Bytes>, revision: u64) -> Record {
         Record {
             key: "servers/i-1".to_owned(),
             value,
@@ -47,9 +48,18 @@
 }
 
 impl Store for OneKey {
-    async fn list(&mut self, _after: &str, _progress: &Progress) -> Result<Page, StoreError> {
+    async fn list(
+        &mut self,
+        group: Group,
+        _after: &str,
+        _progress: &Progress,
+    ) -> Result<Page, StoreError> {
+        let items = match group {
+            Group::Servers => vec![Self::record(Some(Bytes::new()), 1)],
+            _ => Vec::new(),
+        };
         Ok(Page {
-            items: vec![Self::record(Some(Vec::new()), 1)],
+            items,
             has_more: false,
             revision: 1,
             era: None,
@@ -58,6 +68,7 @@
 
     async fn watch(
         &mut self,
+        _group: Group,
         _revision: u64,
         _wait: Duration,
         _progress: &Progress,
@@ -74,11 +85,15 @@
         })
     }
 
+    async fn get(&mut self, _key: &str, _progress: &Progress) -> Result<Page, StoreError> {
+        Err(StoreError::NotFound)
+    }
+
     async fn announce(&mut self, _zone: &str, _bytes: &[u8]) -> Result<Option<u64>, StoreError> {
         Ok(None)
     }
 
-    fn decode(&self, record: &Record) -> Item {
+    fn decode(record: &Record) -> Item {
         let id = "i-1".to_owned();
         if record.value.is_none() {
             return Item::ServerRemoved { id };
--- a/crates/entry/src/sync/tests/slow_link.rs
+++ b/crates/entry/src/sync/tests/slow_link.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use fleet::report::{Announcement, Message, Report, Scope};
 use fleet::{Config, Item, Phase, Registration, Version};
 use rand::rngs::StdRng;
@@ -17,10 +18,11 @@
 
 use super::super::run;
 use crate::accept::{self, Listener};
+use crate::bulk;
 use crate::caller::Role;
 use crate::fixture::{run_local, state};
 use crate::state::State;
-use crate::store::{Batch, Page, Record, Store, StoreError};
+use crate::store::{Batch, Group, Page, Record, Store, StoreError};
 use crate::transfer::Progress;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -49,12 +51,28 @@
         self.revision.set(self.revision.get() + 1);
         let record = Record {
             key: key.to_owned(),
-            value: Some(value.to_vec()),
+            value: Some(Bytes::copy_from_slice(value)),
             revision: self.revision.get(),
         };
         self.records.borrow_mut().insert(key.to_owned(), record);
     }
 
+    /// Returns the keys of `group` that were written after `revision`.
+    fn of(&self, group: Group, revision: u64) -> Vec<Record> {
+        let prefix = match group {
+            Group::All => "",
+            Group::Members => "members/",
+            Group::Evacuations => "op/evacuate/",
+            Group::Servers => "servers/",
+            Group::Config => "op/config",
+        };
+        let records = self.records.borrow();
+        let of_group = records
+            .values()
+            .filter(|record| record.key.starts_with(prefix) && record.revision > revision);
+        of_group.cloned().collect()
+    }
+
     fn put_server(&self, phase: &str) {
         self.put("servers/i-1", phase.as_bytes());
     }
@@ -67,12 +85,17 @@
 }
 
 impl Store for Client {
-    async fn list(&mut self, _after: &str, _progress: &Progress) -> Result<Page, StoreError> {
+    async fn list(
+        &mut self,
+        group: Group,
+        _after: &str,
+        _progress: &Progress,
+    ) -> Result<Page, StoreError> {
         if self.is_cut_off {
             return Err(StoreError::Refused(503));
         }
         Ok(Page {
-            items: self.keys.records.borrow().values().cloned().collect(),
+            items: self.keys.of(group, 0),
             has_more: false,
             revision: self.keys.revision.get(),
             era: None,
@@ -81,6 +104,7 @@
 
     async fn watch(
         &mut self,
+        group: Group,
         revision: u64,
         wait: Duration,
         _progress: &Progress,
@@ -91,20 +115,22 @@
         if self.keys.revision.get() == revision {
             sleep(wait).await;
         }
-        let records = self.keys.records.borrow();
-        let changed = records.values().filter(|record| record.revision > revision);
         Ok(Batch {
-            events: changed.cloned().collect(),
+            events: self.keys.of(group, revision),
             revision: self.keys.revision.get(),
             era: None,
         })
     }
 
+    async fn get(&mut self, _key: &str, _progress: &Progress) -> Result<Page, StoreError> {
+        Err(StoreError::NotFound)
+    }
+
     async fn announce(&mut self, _zone: &str, _bytes: &[u8]) -> Result<Option<u64>, StoreError> {
         Ok(None)
     }
 
-    fn decode(&self, record: &Record) -> Item {
+    fn decode(record: &Record) -> Item {
         let value = record.value.as_deref().unwrap_or_default();
         if record.key == "op/config" {
             return Item::Config(Box::new(Config {
@@ -208,7 +234,8 @@
             keys: Rc::clone(&keys),
             is_cut_off: false,
         };
-        spawn_local(run(Rc::clone(&leader), client.new_client()));
+        spawn_local(bulk::run(Rc::clone(&leader), client.new_client()));
+        spawn_local(run(Rc::clone(&leader), client));
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, high % 200 + 20, low, host);
         let addr = SocketAddr::from((ip, 8_688));
@@ -275,6 +302,7 @@
         keys: Rc::clone(keys),
         is_cut_off: true,
     };
+    spawn_local(bulk::run(Rc::clone(&follower), client.new_client()));
     spawn_local(run(Rc::clone(&follower), client));
     follower
 }
--- a/crates/entry/src/transfer.rs
+++ b/crates/entry/src/transfer.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use event::Event;
+use tokio::sync::Notify;
 
 use crate::snapshot::to_millis;
 use crate::state::State;
@@ -18,6 +19,7 @@
     started: Instant,
     expected: Cell<u64>,
     received: Cell<u64>,
+    is_large: Notify,
 }
 
 impl Default for Progress {
@@ -26,6 +28,7 @@
             started: Instant::now(),
             expected: Cell::new(0),
             received: Cell::new(0),
+            is_large: Notify::new(),
         }
     }
 }
@@ -34,17 +37,24 @@
     /// Records that the response's body will have `bytes` bytes.
     pub fn note_expected(&self, bytes: u64) {
         self.expected.set(bytes);
+        self.notify();
     }
 
     /// Records that `bytes` bytes of the response's body have arrived so far.
     pub fn note_received(&self, bytes: u64) {
         self.received.set(bytes);
+        self.notify();
     }
 
-    /// Returns the size of the body, in bytes: as announced, or as received so far if that is more.
-    #[must_use]
-    pub fn bytes(&self) -> u64 {
-        self.expected.get().max(self.received.get())
+    fn notify(&self) {
+        if self.expected.get().max(self.received.get()) >= LARGE_BYTES {
+            self.is_large.notify_one();
+        }
+    }
+
+    /// Waits until the response is known to be large.
+    pub async fn large(&self) {
+        self.is_large.notified().await;
     }
 }
 
@@ -57,6 +67,10 @@
     Changes,
     /// The state of another entry VM.
     Snapshot,
+    /// Parts of a large value, from another entry VM.
+    Parts,
+    /// One key of the store.
+    Key,
 }
 
 impl Purpose {
@@ -65,6 +79,8 @@
             Self::Listing => "listing",
             Self::Changes => "changes",
             Self::Snapshot => "snapshot",
+            Self::Parts => "parts",
+            Self::Key => "key",
         }
     }
 }
--- a/crates/entry/tests/compatibility.rs
+++ b/crates/entry/tests/compatibility.rs
@@ -175,7 +175,7 @@
         items: vec![
             Record {
                 key: "servers/i-1".to_owned(),
-                value: Some(br#"{"service":"s"}"#.to_vec()),
+                value: Some(br#"{"service":"s"}"#.as_slice().into()),
                 revision: 400,
             },
             Record {
