Look a route up by its path's prefixes, not by trying each route

With thousands of paths at one host each request compared its path with all of them. The routes are ordered by prefix, and each prefix of the path that ends with a slash is searched for, longest first. A VM that is busy sending parts no longer counts as a reason to ask the store for the value.

--- a/crates/entry/src/bulk.rs
+++ b/crates/entry/src/bulk.rs
@@ -322,7 +322,13 @@
                 self.note_barren();
             }
             Ok(_) => self.note_progress(),
-            Err(rest) => self.state.bulk.let_rest(source, rest),
+            Err(rest) => {
+                self.state.bulk.let_rest(source, rest);
+                if rest == BUSY_REST {
+                    // It has what is missing, so the store need not send it.
+                    self.next_call = None;
+                }
+            }
         }
     }
 
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -15,7 +15,7 @@
     pub version: Version,
     /// Services by name.
     pub services: HashMap<String, Service>,
-    /// Routes by host name, longest prefix first.
+    /// Routes by host name, ordered by prefix; each prefix ends with a slash.
     pub hosts: HashMap<String, Vec<Arc<Route>>>,
     /// Workspaces by API key; a workspace has one entry per key.
     pub keys: HashMap<String, Arc<Workspace>>,
@@ -129,14 +129,18 @@
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.hosts.get(host)?;
-        routes.iter().find(|route| path.starts_with(&route.prefix))
+        let mut prefixes = path.rmatch_indices('/').map(|(at, _)| &path[..=at]);
+        prefixes.find_map(|prefix| {
+            let found = routes.binary_search_by(|route| route.prefix.as_str().cmp(prefix));
+            routes.get(found.ok()?)
+        })
     }
 
-    /// Sorts routes by prefix length, longest first, as [`Config::route`] requires.
+    /// Sorts routes by prefix, as [`Config::route`] requires.
     #[must_use]
     pub fn with_sorted_routes(mut self) -> Self {
         for routes in self.hosts.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+            routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
         }
         self
     }
