--- a/crates/entry/src/bulk.rs
+++ b/crates/entry/src/bulk.rs
@@ -15,57 +15,38 @@
 use bytes::Bytes;
 use event::Event;
 use fleet::Item;
-use fleet::parts::{Deferred, Id, Part, Values};
+use fleet::parts::{Deferred, Id, Values};
 use rand::Rng as _;
 use rand::seq::IteratorRandom as _;
 use steer::upload::Allowance;
 use tokio::sync::Notify;
 use tokio::task::spawn_blocking;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-use crate::exchange::Connection;
 use crate::head::Request;
 use crate::response::{Refusal, Reply};
 use crate::snapshot::to_millis;
 use crate::state::State;
 use crate::store::{Record, Store};
 use crate::supervise;
-use crate::transfer::{Progress, Purpose};
+
+mod fetch;
+
+use fetch::Fetcher;
 
 /// Path of the parts; their identities follow, in hexadecimal digits, separated by commas.
 pub const PATH: &str = "/parts?ids=";
 
-/// Most parts and bytes that are requested at once: 26 ms on a link of 10 Mbit/s.
+/// Most parts that are requested at once.
 const MAX_REQUESTED: usize = 16;
-const MAX_REQUESTED_BYTES: u32 = 32 << 10;
-
-/// Longest time to wait for the next bytes of parts, which may come from another region.
-const PART_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Pause before a VM that is busy with others' requests for parts is asked again.
 const BUSY_REST: Duration = Duration::from_millis(30);
 
-/// Pause before a VM that has none of the requested parts is asked again.
-const EMPTY_REST: Duration = Duration::from_millis(200);
-
-/// Pause before a VM that did not answer is asked again.
-const FAILED_REST: Duration = Duration::from_millis(500);
-
 /// Number of VMs that told of a value last, and of highest ranks of the zone, which are asked first.
 const MAX_GIVERS: usize = 2;
 const FIRST_RANKS: usize = 2;
 
-/// Number of requests without a needed part after which a later version is fetched instead.
-const MAX_BARREN: u32 = 4;
-
-/// Time without a needed part after which the store is asked for the whole value, and the longest pause
-/// between two such calls.
-const STORE_AFTER: Duration = Duration::from_millis(1_500);
-const MAX_STORE_PAUSE: Duration = Duration::from_secs(8);
-
-/// Pause while no VM can be asked.
-const SHORT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Large values that this VM has or is fetching, and who is asked for them.
 #[derive(Debug)]
 pub struct Bulk {
@@ -198,14 +179,7 @@
 
 /// Fetches and applies large values.
 pub async fn run<S: Store>(state: Rc<State>, store: S) {
-    let mut fetcher = Fetcher {
-        state: &state,
-        store,
-        connection: None,
-        barren: 0,
-        next_call: None,
-        calls: 0,
-    };
+    let mut fetcher = Fetcher::new(&state, store);
     loop {
         let complete = state.bulk.values.borrow().complete();
         if let Some((done, value)) = complete {
@@ -217,7 +191,7 @@
         } else {
             state.bulk.is_done.notify_waiters();
             fetcher.note_progress();
-            fetcher.connection = None;
+            fetcher.disconnect();
             state.bulk.is_due.notified().await;
         }
     }
@@ -271,161 +245,3 @@
         });
     }
 }
-
-/// Returns parts of `missing` to request at once. They begin at a random one, so that VMs that fetch the same
-/// value soon have different parts to pass on.
-fn choose(missing: &[Part]) -> Vec<Part> {
-    let start = rand::rng().random_range(0..missing.len());
-    let parts = missing[start..].iter().chain(&missing[..start]);
-    let parts = parts.take(MAX_REQUESTED);
-    let mut bytes = 0;
-    let fitting = parts.take_while(|part| {
-        bytes += part.bytes;
-        bytes <= MAX_REQUESTED_BYTES
-    });
-    let fitting: Vec<Part> = fitting.copied().collect();
-    if fitting.is_empty() {
-        return vec![missing[start]];
-    }
-    fitting
-}
-
-/// Fetches the values that are missing.
-struct Fetcher<'a, S> {
-    state: &'a State,
-    store: S,
-    /// Connection to the VM that was asked last.
-    connection: Option<Connection>,
-    /// Requests since one brought a needed part.
-    barren: u32,
-    /// When the store is asked for the whole value.
-    next_call: Option<Instant>,
-    /// Calls to the store since a part arrived.
-    calls: u32,
-}
-
-impl<S: Store> Fetcher<'_, S> {
-    async fn fetch(&mut self) {
-        let now = Instant::now();
-        if now >= *self.next_call.get_or_insert(now + STORE_AFTER) {
-            self.ask_store().await;
-            return;
-        }
-        let missing = self.state.bulk.values.borrow().missing();
-        let source = self.state.part_source();
-        let (Some(source), false) = (source, missing.is_empty()) else {
-            sleep(SHORT_PAUSE).await;
-            return;
-        };
-        match self.request(source, &choose(&missing)).await {
-            Ok(0) => {
-                self.state.bulk.let_rest(source, EMPTY_REST);
-                self.note_barren();
-            }
-            Ok(_) => self.note_progress(),
-            Err(rest) => {
-                self.state.bulk.let_rest(source, rest);
-                if rest == BUSY_REST {
-                    // It has what is missing, so the store need not send it.
-                    self.next_call = None;
-                }
-            }
-        }
-    }
-
-    /// Requests `parts` from the VM at `source`; returns how many needed ones came.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the time for which the VM is not to be asked.
-    async fn request(&mut self, source: SocketAddr, parts: &[Part]) -> Result<usize, Duration> {
-        let ids: Vec<String> = parts
-            .iter()
-            .map(|part| format!("{:x}", part.id.0))
-            .collect();
-        let target = format!("{PATH}{}", ids.join(","));
-        let progress = Progress::default();
-        let answered = self.exchange(source, &target, &progress).await;
-        let age_ms = answered.is_ok().then_some(0);
-        self.state
-            .note_transfer(Purpose::Parts, &source.to_string(), &progress, age_ms);
-        let parts = match answered {
-            Ok(parts) => parts,
-            Err(error) if error == BUSY => return Err(BUSY_REST),
-            Err(error) => {
-                event::emit(&Event::NeighbourUnreachable {
-                    addr: source,
-                    error,
-                });
-                return Err(FAILED_REST);
-            }
-        };
-        let mut values = self.state.bulk.values.borrow_mut();
-        let needed = parts
-            .into_iter()
-            .filter(|part| values.receive(part.clone()));
-        Ok(needed.count())
-    }
-
-    async fn exchange(
-        &mut self,
-        source: SocketAddr,
-        target: &str,
-        progress: &Progress,
-    ) -> Result<Vec<Bytes>, String> {
-        let kept = self.connection.take();
-        let kept = kept.filter(|connection| connection.addr() == source);
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => Connection::open(source, PART_TIMEOUT).await?,
-        };
-        let (_, body) = connection.get(target, "", progress).await?;
-        self.connection = Some(connection);
-        postcard::from_bytes(&body).map_err(|error| error.to_string())
-    }
-
-    fn note_progress(&mut self) {
-        self.barren = 0;
-        self.calls = 0;
-        self.next_call = None;
-    }
-
-    fn note_barren(&mut self) {
-        self.barren += 1;
-        if self.barren >= MAX_BARREN && self.state.bulk.values.borrow_mut().skip() {
-            self.note_progress();
-        }
-    }
-
-    /// Asks the store for the whole value that nobody passes on.
-    async fn ask_store(&mut self) {
-        let key = self
-            .state
-            .bulk
-            .values
-            .borrow()
-            .first_key()
-            .map(str::to_owned);
-        let Some(key) = key else { return };
-        let pause = STORE_AFTER * 2_u32.pow(self.calls.min(4));
-        let pause = pause.min(MAX_STORE_PAUSE);
-        self.calls += 1;
-        self.next_call = Some(Instant::now() + pause.mul_f64(rand::rng().random_range(0.5..1.0)));
-        let progress = Progress::default();
-        let page = self.store.get(&key, &progress).await;
-        let age_ms = page.is_ok().then_some(0);
-        self.state
-            .note_transfer(Purpose::Key, "store", &progress, age_ms);
-        self.state.metrics.note_store_call("key", page.is_ok());
-        let Ok(page) = page else { return };
-        let is_known_era = self.state.eras().compare(page.era).is_eq();
-        for record in page.items.into_iter().filter(|_| is_known_era) {
-            if let Some(value) = &record.value {
-                self.state.offer_whole(record.key, value, record.revision);
-            }
-        }
-    }
-}
-
-/// Error of a VM that is busy with others' requests for parts.
-const BUSY: &str = "status 503";
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -29,12 +29,14 @@
 
 use crate::snapshot::{self, STALE_MS};
 use crate::state::{Reading, State};
-use crate::store::{Batch, Group, Page, Record, Store, StoreError};
+use crate::store::{Batch, Group, Store, StoreError};
 use crate::transfer::{Progress, Purpose};
 
 mod changes;
+mod listing;
 
 use changes::{apply, apply_snapshot, enter_era, expire_missing, is_newer, keys, replace};
+use listing::list;
 
 /// Pause between two watches. Followers add their own interval, and the sum has to stay well below
 /// the two seconds within which changes take effect.
@@ -475,63 +477,5 @@
     }
 }
 
-/// All keys of the store.
-struct Listing {
-    items: Vec<Record>,
-    /// Revision from which to watch.
-    revision: u64,
-    era: Option<u64>,
-}
-
-/// Lists all keys of the store, urgent ones first.
-async fn list<S: Store>(state: &State, store: &mut S) -> Result<Listing, StoreError> {
-    let mut listing: Option<Listing> = None;
-    for group in Group::LISTED {
-        let mut after = String::new();
-        loop {
-            let page = list_page(state, store, group, &after).await?;
-            let listing = listing.get_or_insert_with(|| Listing {
-                items: Vec::new(),
-                revision: page.revision,
-                era: page.era,
-            });
-            if page.era != listing.era {
-                // The store was restored between two pages.
-                return Err(StoreError::Compacted);
-            }
-            let Some(last) = page.items.last() else { break };
-            after.clone_from(&last.key);
-            apply_urgent::<S>(state, group, &page);
-            listing.items.extend(page.items);
-            if !page.has_more {
-                break;
-            }
-        }
-    }
-    listing.ok_or(StoreError::Compacted)
-}
-
-/// Applies a page of urgent keys at once, while the rest of the listing may take long. Without a configuration
-/// there are no requests for which they matter.
-fn apply_urgent<S: Store>(state: &State, group: Group, page: &Page) {
-    let is_urgent = Group::URGENT.contains(&group);
-    if is_urgent && state.config().is_some() && state.eras().compare(page.era).is_eq() {
-        apply::<S>(state, page.items.clone());
-    }
-}
-
-async fn list_page<S: Store>(
-    state: &State,
-    store: &mut S,
-    group: Group,
-    after: &str,
-) -> Result<Page, StoreError> {
-    let progress = Progress::default();
-    let page = store.list(group, after, &progress).await;
-    let age_ms = page.is_ok().then_some(0);
-    state.note_transfer(Purpose::Listing, STORE, &progress, age_ms);
-    page
-}
-
 #[cfg(test)]
 mod tests;
