Take an assumed outage back at the VMs that assume it by their leader

A VM that follows took over from a leader for how long missing registrations are kept, and kept them to the end after the leader had taken its assumption back: servers that had left got requests for up to 2.2 s more.

--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -116,6 +116,7 @@
     /// of it before.
     pub fn note_outage_end(&self, silent_since: Option<Instant>, now: Instant) {
         self.silent_since.set(silent_since);
+        self.rejoin_from.set(None);
         self.roster.borrow_mut().note_outage_end(now);
     }
 
@@ -136,9 +137,18 @@
         let steady_since = now.checked_sub(Duration::from_millis(steady_ms));
         let is_recent = fetched.snapshot.age_ms < snapshot::STALE_MS;
         if is_recent && steady_since.is_some_and(|since| since <= silent_since) {
-            self.silent_since.set(None);
-            self.roster.borrow_mut().end_rejoin(now);
-            self.expire(now);
+            self.take_outage_back(now);
+        }
+    }
+
+    /// Takes back that there was an outage of the store: what is missing has left.
+    pub fn take_outage_back(&self, now: Instant) {
+        let was_assumed = self.assumes_outage(now);
+        self.silent_since.set(None);
+        self.rejoin_from.set(None);
+        self.roster.borrow_mut().end_rejoin(now);
+        self.expire(now);
+        if was_assumed {
             event::emit(&Event::OutageTakenBack {});
         }
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -140,6 +140,8 @@
     steady_since: Cell<Option<Instant>>,
     /// When this VM last had news of the store before the outage that it assumes.
     pub(crate) silent_since: Cell<Option<Instant>>,
+    /// The VM by which this one assumes an outage of the store, unless it does so by itself.
+    pub(crate) rejoin_from: Cell<Option<SocketAddr>>,
     /// Time up to which all changes of the store are known: changes that arrive next were written
     /// later.
     complete_until: Cell<Option<Instant>>,
@@ -251,6 +253,7 @@
             read_at: Cell::new(None),
             steady_since: Cell::new(None),
             silent_since: Cell::new(None),
+            rejoin_from: Cell::new(None),
             complete_until: Cell::new(None),
             eras: RefCell::default(),
             grace: RefCell::default(),
--- a/crates/entry/src/sync/changes.rs
+++ b/crates/entry/src/sync/changes.rs
@@ -54,6 +54,9 @@
         let rejoin = Duration::from_millis(snapshot.rejoin_ms).min(REJOIN_GRACE);
         state.silent_since.set(state.read_at());
         state.set_rejoin_until(now + rejoin);
+        state.rejoin_from.set(Some(from));
+    } else if snapshot.rejoin_ms == 0 && state.rejoin_from.get() == Some(from) {
+        state.take_outage_back(now);
     }
     if verdict == Verdict::SameEra && snapshot.revision < state.revision() {
         return true;
--- a/crates/entry/src/sync/tests.rs
+++ b/crates/entry/src/sync/tests.rs
@@ -11,10 +11,12 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::changes::{apply, apply_snapshot};
 use super::run;
 use crate::accept::{self, Listener};
 use crate::caller::Role;
 use crate::fixture::{run_local, state};
+use crate::snapshot::{Fetched, Snapshot};
 use crate::state::{MIN_GAP, Reading, State};
 use crate::store::{Batch, Group, Page, Record, Store, StoreError};
 use crate::transfer::Progress;
@@ -229,3 +231,49 @@
         assert!(pair.vm.rejoin_until().is_some());
     });
 }
+
+/// Returns the snapshot at `revision` of a leader that keeps missing registrations for `rejoin_ms` more.
+fn snapshot(revision: u64, items: Vec<Record>, rejoin_ms: u64) -> Fetched {
+    Fetched {
+        snapshot: Snapshot {
+            revision,
+            items,
+            is_complete: false,
+            age_ms: 0,
+            query_age_ms: 0,
+            rejoin_ms,
+        },
+        deferred: Vec::new(),
+        from: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_688)),
+        era: None,
+        steady_ms: None,
+    }
+}
+
+/// Guards against a follower that keeps servers which left, since its leader assumed an outage for a moment.
+#[test]
+fn outage_that_the_leader_took_back_goes_on_at_its_followers() {
+    run_local(async {
+        let vm = state();
+        let now = Instant::now();
+        apply::<OneKey>(&vm, vec![OneKey::record(Some(Bytes::new()), 1)]);
+        let reading = Reading {
+            sent_at: None,
+            answered_at: now.checked_sub(MIN_GAP * 2).expect("time since the start"),
+        };
+        vm.set_revision(1, reading);
+        let removal = vec![OneKey::record(None, 2)];
+        assert!(apply_snapshot::<OneKey>(
+            &vm,
+            snapshot(2, removal, 2_000),
+            now
+        ));
+        assert!(vm.servers.borrow().get("i-1").is_some());
+        assert!(apply_snapshot::<OneKey>(
+            &vm,
+            snapshot(3, Vec::new(), 0),
+            now
+        ));
+        assert!(vm.servers.borrow().get("i-1").is_none());
+    });
+}
