Keep a value whose parts are still requested while later ones follow

A value of which another VM asked for parts since the latest one came is kept, up to six in all. The new test fails if the earliest value is dropped instead.

--- a/crates/entry/src/bulk.rs
+++ b/crates/entry/src/bulk.rs
@@ -157,8 +157,12 @@
 pub fn answer(state: &State, ids: &str) -> Reply {
     let ids = ids.split(',').take(MAX_REQUESTED);
     let ids = ids.filter_map(|id| u128::from_str_radix(id, 16).ok());
-    let values = state.bulk.values.borrow();
-    let parts = ids.filter_map(|id| values.part(Id(id)).cloned());
+    let ids: Vec<Id> = ids.map(Id).collect();
+    let mut values = state.bulk.values.borrow_mut();
+    if let Some(first) = ids.first() {
+        values.note_requested(*first);
+    }
+    let parts = ids.iter().filter_map(|id| values.part(*id).cloned());
     let parts: Vec<Bytes> = parts.collect();
     let bytes = parts.iter().map(Bytes::len).sum();
     let mut allowance = state.bulk.allowance.borrow_mut();
--- a/crates/fleet/src/parts.rs
+++ b/crates/fleet/src/parts.rs
@@ -23,6 +23,9 @@
 /// of a value can complete it.
 const MAX_VALUES: usize = 3;
 
+/// Number of values that are kept if parts of the earlier ones are still requested.
+const MAX_REQUESTED_VALUES: usize = 6;
+
 /// Identifies a part by its content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Id(pub u128);
@@ -77,6 +80,15 @@
     cuts.map(|cut| value.slice(cut.offset..cut.offset + cut.length))
 }
 
+/// A value that this VM has.
+#[derive(Debug)]
+struct Kept {
+    value: Bytes,
+    manifest: Manifest,
+    /// Whether another VM asked for parts of it since the latest value was added.
+    is_requested: bool,
+}
+
 /// The versions of one key's value that this VM does not have yet.
 #[derive(Debug)]
 struct Pending {
@@ -95,7 +107,7 @@
 pub struct Values {
     pending: BTreeMap<String, Pending>,
     /// Values that are complete, the latest last.
-    kept: VecDeque<(Bytes, Manifest)>,
+    kept: VecDeque<Kept>,
     /// Parts of the values in `kept`.
     parts: HashMap<Id, Bytes>,
     /// Parts of versions that are being fetched.
@@ -132,29 +144,52 @@
     /// Records that this VM has the value `value`.
     pub fn keep(&mut self, value: &Bytes) {
         let manifest = self.manifest(value);
-        if self.kept.iter().any(|(_, kept)| *kept == manifest) {
+        if self.kept.iter().any(|kept| kept.manifest == manifest) {
             return;
         }
-        self.kept.push_back((value.clone(), manifest));
-        if self.kept.len() > MAX_VALUES {
-            self.kept.pop_front();
-            self.parts = HashMap::new();
-            for (kept, _) in &self.kept {
-                self.parts
-                    .extend(split(kept).map(|part| (Id::of(&part), part)));
-            }
-        } else {
-            let parts = split(value).map(|part| (Id::of(&part), part));
+        if self.kept.len() >= MAX_VALUES {
+            self.drop_one();
+        }
+        for kept in &mut self.kept {
+            kept.is_requested = false;
+        }
+        let parts = split(value).map(|part| (Id::of(&part), part));
+        self.parts.extend(parts);
+        self.kept.push_back(Kept {
+            value: value.clone(),
+            manifest,
+            is_requested: false,
+        });
+    }
+
+    /// Drops the earliest value of which nobody asks for parts, or the earliest one if there are too many.
+    fn drop_one(&mut self) {
+        let unused = self.kept.iter().position(|kept| !kept.is_requested);
+        let is_full = self.kept.len() >= MAX_REQUESTED_VALUES;
+        let Some(index) = unused.or(is_full.then_some(0)) else {
+            return;
+        };
+        self.kept.remove(index);
+        self.parts = HashMap::new();
+        for kept in &self.kept {
+            let parts = split(&kept.value).map(|part| (Id::of(&part), part));
             self.parts.extend(parts);
         }
     }
 
+    /// Records that another VM asks for the part `id`.
+    pub fn note_requested(&mut self, id: Id) {
+        for kept in &mut self.kept {
+            kept.is_requested |= kept.manifest.0.iter().any(|part| part.id == id);
+        }
+    }
+
     /// Returns the parts of `value`.
     #[must_use]
     pub fn manifest(&self, value: &Bytes) -> Manifest {
         let is_same = |kept: &Bytes| kept.as_ptr() == value.as_ptr() && kept.len() == value.len();
-        let kept = self.kept.iter().find(|(kept, _)| is_same(kept));
-        kept.map_or_else(|| Manifest::of(value), |(_, manifest)| manifest.clone())
+        let kept = self.kept.iter().find(|kept| is_same(&kept.value));
+        kept.map_or_else(|| Manifest::of(value), |kept| kept.manifest.clone())
     }
 
     /// Drops the versions of `key` that are being fetched: a later value of it is known, or none.
@@ -257,8 +292,10 @@
     pub fn complete(&self) -> Option<(Deferred, Bytes)> {
         let is_complete = |pending: &&Pending| self.missing_bytes(&pending.target.manifest) == 0;
         let target = &self.pending.values().find(is_complete)?.target;
-        if let Some((kept, _)) = self.kept.iter().find(|(_, kept)| *kept == target.manifest) {
-            return Some((target.clone(), kept.clone()));
+        let kept = self.kept.iter();
+        let mut kept = kept.filter(|kept| kept.manifest == target.manifest);
+        if let Some(kept) = kept.next() {
+            return Some((target.clone(), kept.value.clone()));
         }
         let mut value = BytesMut::new();
         for part in &target.manifest.0 {
--- a/crates/fleet/src/parts/tests.rs
+++ b/crates/fleet/src/parts/tests.rs
@@ -28,8 +28,11 @@
 }
 
 /// Receives `most` of the missing parts from a VM that has `sources`; returns their number.
-fn fetch(values: &mut Values, source: &Values, most: usize) -> usize {
+fn fetch(values: &mut Values, source: &mut Values, most: usize) -> usize {
     let missing = values.missing();
+    for part in missing.iter().take(most) {
+        source.note_requested(part.id);
+    }
     let parts = missing
         .iter()
         .filter_map(|part| source.part(part.id).cloned());
@@ -63,14 +66,14 @@
         let value = Bytes::from(text(revision, 200_000));
         source.keep(&value);
         values.offer(deferred(revision, &value));
-        fetch(&mut values, &source, 10);
+        fetch(&mut values, &mut source, 10);
         if let Some((done, content)) = values.complete() {
             assert!(values.finish(&done));
             values.keep(&content);
             taken.push(done.revision);
         }
         // What the source no longer has is given up.
-        if fetch(&mut values, &source, 0) == 0
+        if fetch(&mut values, &mut source, 0) == 0
             && values
                 .missing()
                 .iter()
@@ -83,6 +86,27 @@
     assert!(taken.is_sorted());
 }
 
+/// Guards against a slow link, over which no version arrives before the VM that has it drops its parts.
+#[test]
+fn version_that_is_being_fetched_is_kept_while_many_follow() {
+    let mut source = Values::default();
+    let mut values = Values::default();
+    let mut taken = 0;
+    for revision in 1..=40 {
+        let value = Bytes::from(text(revision, 200_000));
+        source.keep(&value);
+        values.offer(deferred(revision, &value));
+        if fetch(&mut values, &mut source, 2) == 0 {
+            values.skip();
+        }
+        if let Some((done, _)) = values.complete() {
+            assert!(values.finish(&done));
+            taken += 1;
+        }
+    }
+    assert!(taken >= 2, "{taken}");
+}
+
 #[test]
 fn part_of_another_value_is_not_kept() {
     let mut values = Values::default();
@@ -107,7 +131,7 @@
             source.keep(&value);
             versions.push(value.clone());
             values.offer(deferred(revision as u64, &value));
-            fetch(&mut values, &source, *most);
+            fetch(&mut values, &mut source, *most);
             if let Some((done, content)) = values.complete() {
                 let version = usize::try_from(done.revision).expect("few versions");
                 prop_assert_eq!(&content, &versions[version]);
@@ -121,7 +145,7 @@
                 values.finish(&done);
                 values.keep(&content);
                 last = Some(done.revision);
-            } else if fetch(&mut values, &source, 5) == 0 {
+            } else if fetch(&mut values, &mut source, 5) == 0 {
                 values.skip();
             }
         }
