--- a/crates/entry/src/bulk/fetch.rs
+++ b/crates/entry/src/bulk/fetch.rs
@@ -96,7 +96,7 @@
             return;
         }
         let missing = self.state.bulk.values.borrow().missing();
-        let source = self.state.part_source();
+        let source = self.source();
         let (Some(source), false) = (source, missing.is_empty()) else {
             sleep(SHORT_PAUSE).await;
             return;
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Returns the VM to ask: the one that answered last, if it need not rest, else another one.
+    fn source(&self) -> Option<SocketAddr> {
+        let last = self.connection.as_ref().map(Connection::addr);
+        let last = last.filter(|addr| !self.state.bulk.rests(*addr));
+        last.or_else(|| self.state.part_source())
+    }
+
     /// Requests `parts` from the VM at `source`; returns how many needed ones came.
     ///
     /// # Errors
