--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 
 mod base64;
 mod http;
+mod limits;
 mod quarantine;
 mod record;
 mod server;
@@ -49,6 +50,7 @@
     let files = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
     let verdict = match case.as_str() {
         "quarantine" => quarantine::play(&files, &record, has_trouble),
+        "limits" => limits::play(&files, &record, has_trouble),
         _ => Verdict::NotRun,
     };
     record.note(&format!("verdict: {verdict:?}"));
