--- a/review/stand-ins-2/src/limits.rs
+++ b/review/stand-ins-2/src/limits.rs
@@ -2,14 +2,13 @@
 
 use std::net::TcpStream;
 use std::path::Path;
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use crate::Verdict;
 use crate::http;
 use crate::record::Record;
-use crate::server::Server;
+use crate::server::{Deaths, Server};
 use crate::store::Store;
 use crate::vm::Vm;
 
@@ -46,7 +45,7 @@
         LATER_BYTES
     };
     store.put("op/config", &config(1, first));
-    let deaths = Arc::default();
+    let deaths = Deaths::default();
     for number in 0..SERVERS {
         Server::start(number, "a", &store, record, WORK, &deaths);
     }
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -79,7 +79,7 @@
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = http::read(&mut stream, &mut buffer) {
             let (status, body) = self.answer(&request);
-            let fields = "Content-Type: application/json\r\n";
+            let fields = "Content-Type: application/json\r\nStore-Era: 1\r\n";
             if http::respond(&mut stream, status, fields, body.as_bytes()).is_err() {
                 return;
             }
