Give up a response without a length whose connection a write found reset

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still written; the part came as a whole response.

Cause: the kernel reports the error of a connection once, to the call that comes first. If that is the write of the request, the exchange dropped the error, since a server may answer although it stopped reading, and the read after it saw the connection end as if in order. A body that ends with its connection then counted as complete.

Evidence: a test that sets the order (the runtime knows that it can write, the reset comes, the write is next) got the part as an answer in 3 of 3 runs before.

Why it works: the error that the write took is kept, and a body that ends with its connection is not complete then. A broken pipe is no such error: the kernel reports it only if the server had ended its side in order before, so the whole response is there. The test of this order passed before and passes. Responses with a length or in chunks know their end and are not concerned. Whole responses without a length, early and late, pass in 64 of 64 uploads on each way, as before.

--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -289,6 +289,9 @@
                 // A server may answer although it stopped reading the body, so a failed write alone
                 // is no failure of the attempt.
                 is_writing = written.is_ok() && rest.has_remaining();
+                if let Err(error) = written {
+                    receiver.note_write_error(error);
+                }
             }
         }
     };
@@ -321,6 +324,8 @@
     lacks_memory: bool,
     /// Since when the response waits for memory.
     waits_since: Option<Instant>,
+    /// Error with which the connection ended although the server had not ended it in order.
+    broken: Option<io::Error>,
 }
 
 impl<'a> Receiver<'a> {
@@ -335,6 +340,16 @@
             has_received: false,
             lacks_memory: false,
             waits_since: None,
+            broken: None,
+        }
+    }
+
+    /// Records that the request could not be written. The kernel reports the error of a connection only
+    /// once: the reader then sees it end as if in order. A broken pipe tells that the server did end its
+    /// side in order before.
+    fn note_write_error(&mut self, error: io::Error) {
+        if error.kind() != io::ErrorKind::BrokenPipe {
+            self.broken = Some(error);
         }
     }
 
@@ -433,6 +448,9 @@
 
     /// Completes the response when the connection ends.
     fn finish(&mut self) -> Result<Response, String> {
+        if let Some(error) = &self.broken {
+            return Err(error.to_string());
+        }
         let closed = || "connection closed before the response was complete".to_owned();
         let (mut head, collector) = self.incomplete.take().ok_or_else(closed)?;
         if !collector.ends_with_connection() || !self.is_own(&head)? {
@@ -451,3 +469,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
