Bound the answers of the store that an entry VM keeps

What operators of similar systems saw: a process that called a faulty server kept bytes without end and ran out of memory; the requests of others on that machine ended with it.

Cause: the client of the platform's store collected an answer's body whatever its size.

Changes since the last revision come in one answer and may be more; all keys are then listed.

--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -59,6 +59,8 @@
     NotFound,
     /// The response could not be decoded.
     Malformed(String),
+    /// The response is larger than a client takes.
+    TooLarge,
 }
 
 impl std::fmt::Display for StoreError {
@@ -70,6 +72,7 @@
             Self::EarlierEra(era) => write!(f, "answer of the earlier era {era}"),
             Self::NotFound => write!(f, "not found"),
             Self::Malformed(error) => write!(f, "malformed response: {error}"),
+            Self::TooLarge => write!(f, "response too large"),
         }
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -171,6 +171,10 @@
             }
             Err(error) => {
                 self.state.metrics.note_store_call("changes", false);
+                if error == StoreError::TooLarge {
+                    // Changes come in one response, a listing in pages.
+                    self.is_listed = false;
+                }
                 self.note_failure(&error);
                 self.fetch_from_peers::<S>().await;
                 RETRY_DELAY
--- a/crates/standin/src/users/http.rs
+++ b/crates/standin/src/users/http.rs
@@ -1,11 +1,11 @@
 //! The calls of the store.
 
-use std::io::Read as _;
+use std::io::{self, Read as _};
 use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use rouille::{Request, Response};
+use rouille::{Request, Response, ResponseBody};
 use serde_json::{Value, json};
 
 use super::keys::{Change, Conflict, Item, Keys};
@@ -15,6 +15,9 @@
 /// Most keys of a page; the users name about 500, and a small one makes tests turn pages.
 const PAGE: usize = 3;
 
+/// Size of an endless answer, in bytes: several times the memory of an entry VM.
+const ENDLESS_BYTES: u64 = 1 << 30;
+
 /// Header of all answers that names the store's era.
 const ERA: &str = "Store-Era";
 
@@ -38,6 +41,16 @@
             connections.close(*request.remote_addr());
             answer
         }
+        Fault::Endless => endless(),
+    }
+}
+
+/// Returns an answer with a body in chunks that is larger than any caller can take.
+fn endless() -> Response {
+    let bytes = io::repeat(b' ').take(ENDLESS_BYTES);
+    Response {
+        data: ResponseBody::from_reader(bytes),
+        ..Response::text("")
     }
 }
 
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -33,6 +33,8 @@
     Reset,
     /// It does what is asked and closes the connection without an answer.
     LoseAnswers,
+    /// It answers with bytes that go on until the caller closes; nothing is done.
+    Endless,
 }
 
 /// An address in the store's values that a face replaces by another one.
