End responses whose trailer goes on

What operators of similar systems saw: bytes that are no answer came without end, until the caller closed.

Cause: each trailer line is bounded and dropped, but not their number. At a backend server the route's timeout ends that; between entry VMs, where each step may take a time of its own, nothing did: a VM that follows another one would have read on and taken over no state.

Evidence: a stand-in for another VM that sends trailer lines without end; the request did not end in 6 s before, and fails at once after. Of the seven other kinds of bytes without end none failed before, nor did cut bodies, a status 000 and invalid field names; their tests stay.

Why it works: a trailer of more than 32 KB, as much as a whole head may have, ends the body as too large, whoever sends it.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -8,6 +8,9 @@
 /// Longest chunk-size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1_024;
 
+/// Largest trailer, in bytes.
+const MAX_TRAILER_BYTES: usize = 32 << 10;
+
 /// Size of the segments of a response, in bytes. The memory of a segment is free once it is written to
 /// the caller.
 pub const SEGMENT_BYTES: usize = 64 << 10;
@@ -36,8 +39,8 @@
     Chunk(u64),
     /// The line end after a chunk comes next.
     ChunkEnd,
-    /// A trailer line comes next.
-    Trailer,
+    /// A trailer line comes next, after the given number of bytes of others.
+    Trailer(usize),
     /// All bytes until the connection ends belong to the body.
     UntilClose,
     /// The body is complete.
@@ -163,7 +166,7 @@
                 buffer.advance(2);
                 self.position = Position::ChunkSize;
             }
-            Position::Trailer => return self.skip_trailer(buffer),
+            Position::Trailer(skipped) => return self.skip_trailer(buffer, skipped),
         }
         Ok(())
     }
@@ -208,7 +211,7 @@
             Ok(Status::Complete((used, size))) => {
                 buffer.advance(used);
                 self.position = match size {
-                    0 => Position::Trailer,
+                    0 => Position::Trailer(0),
                     size if size > self.max_bytes => return Err(BodyError::TooLarge),
                     size => Position::Chunk(size),
                 };
@@ -219,19 +222,24 @@
         }
     }
 
-    /// Skips a trailer line; an empty line ends the body.
-    fn skip_trailer(&mut self, buffer: &mut BytesMut) -> Result<(), BodyError> {
-        let end = buffer.windows(2).position(|pair| pair == b"\r\n");
-        match end {
-            None if buffer.len() > MAX_LINE_BYTES => Err(BodyError::Malformed),
-            None => Ok(()),
-            Some(end) => {
-                buffer.advance(end + 2);
-                if end == 0 {
-                    self.position = Position::Done;
-                }
-                Ok(())
+    /// Skips a trailer line after `skipped` bytes of others; an empty line ends the body.
+    fn skip_trailer(&mut self, buffer: &mut BytesMut, skipped: usize) -> Result<(), BodyError> {
+        let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
+            if buffer.len() > MAX_LINE_BYTES {
+                return Err(BodyError::Malformed);
             }
+            return Ok(());
+        };
+        let skipped = skipped + end + 2;
+        if skipped > MAX_TRAILER_BYTES {
+            return Err(BodyError::TooLarge);
         }
+        buffer.advance(end + 2);
+        self.position = if end == 0 {
+            Position::Done
+        } else {
+            Position::Trailer(skipped)
+        };
+        Ok(())
     }
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -115,3 +115,6 @@
     let collector = Collector::new(framing, MAX_BYTES);
     collector.map_err(|_| "body too large".to_owned())
 }
+
+#[cfg(test)]
+mod tests;
