Share the stand-in for responses without end

Tests of entry VMs, messages between them and the gate need a server that sends given bytes on and on.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod history;
 pub mod listener;
 pub mod platform;
+pub mod raw;
 mod server;
 pub mod users;
