Gate: give up interim responses without end, and keep none

What operators of similar systems saw: a process kept bytes without end of a faulty server and ran out of memory.

Cause: the gate inspects the heads of responses beside the HTTP library, and kept all interim responses until a final head. Each read parsed them all again, which held the connection's task up so long that it read on after the deadline and after it was to end.

Evidence: a server that sends interim responses without end: the caller got its 504 at the deadline of 5 s, and 10 s after the request the gate still read and kept all of it (10 MB in a debug build, the growth being slowed by the parsing).

Why it works: interim responses are dropped as soon as they are parsed, and more than 64 KB of them, as much as a whole head may have, end the connection.

--- a/crates/gate/src/response_head.rs
+++ b/crates/gate/src/response_head.rs
@@ -6,13 +6,16 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use httparse::Status;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::framing::{Framing, MAX_HEADERS, classify};
 
+/// Maximum total size of the interim responses before a response, in bytes.
+const MAX_INTERIM_BYTES: usize = 64 << 10;
+
 /// Framing of the latest response on a connection. Clones share the state.
 #[derive(Debug, Clone, Default)]
 pub struct Tracker {
@@ -24,16 +27,25 @@
     /// No response is expected.
     #[default]
     Idle,
-    /// Inside a head; holds the bytes received so far.
-    Head(Vec<u8>),
+    /// Inside a head.
+    Head(Head),
     /// A complete head was received; holds its framing.
     Classified(Framing),
 }
 
+/// A head that is not complete.
+#[derive(Debug, Default)]
+struct Head {
+    /// Bytes received so far.
+    bytes: Vec<u8>,
+    /// Size of the interim responses before it, in bytes.
+    interim_bytes: usize,
+}
+
 impl Tracker {
     /// Starts inspecting the next response head.
     pub fn arm(&self) {
-        *self.lock() = State::Head(Vec::new());
+        *self.lock() = State::Head(Head::default());
     }
 
     /// Returns whether the framing of the latest response is unambiguous. A response without a
@@ -46,14 +58,20 @@
         }
     }
 
-    fn inspect(&self, bytes: &[u8]) {
+    /// Inspects `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the interim responses before the head are too large.
+    fn inspect(&self, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.lock();
         if let State::Head(head) = &mut *state {
-            head.extend_from_slice(bytes);
-            if let Some(framing) = classify_final(head) {
+            head.bytes.extend_from_slice(bytes);
+            if let Some(framing) = head.classify_final()? {
                 *state = State::Classified(framing);
             }
         }
+        Ok(())
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -61,19 +79,30 @@
     }
 }
 
-/// Classifies the framing of the first head that is not an interim response. Returns `None` for
-/// incomplete heads and heads that the parser rejects.
-fn classify_final(mut bytes: &[u8]) -> Option<Framing> {
-    loop {
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut response = httparse::Response::new(&mut headers);
-        let Ok(Status::Complete(length)) = response.parse(bytes) else {
-            return None;
-        };
-        if !matches!(response.code, Some(100 | 102..=199)) {
-            return Some(classify(response.headers));
+impl Head {
+    /// Classifies the framing of the first head that is not an interim response, and drops those. Returns
+    /// `None` for incomplete heads and heads that the parser rejects.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the interim responses are too large.
+    fn classify_final(&mut self) -> io::Result<Option<Framing>> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+            let mut response = httparse::Response::new(&mut headers);
+            let Ok(Status::Complete(length)) = response.parse(&self.bytes) else {
+                return Ok(None);
+            };
+            if !matches!(response.code, Some(100 | 102..=199)) {
+                return Ok(Some(classify(response.headers)));
+            }
+            self.bytes.drain(..length);
+            self.interim_bytes += length;
+            if self.interim_bytes > MAX_INTERIM_BYTES {
+                let problem = "interim responses are too large";
+                return Err(io::Error::new(io::ErrorKind::InvalidData, problem));
+            }
         }
-        bytes = &bytes[length..];
     }
 }
 
@@ -98,11 +127,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if polled.is_ready() {
-            self.tracker.inspect(&buffer.filled()[before..]);
-        }
-        polled
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        Poll::Ready(self.tracker.inspect(&buffer.filled()[before..]))
     }
 }
 
