Gate: test responses without a status, with invalid field names and cut uploads

A status of 000, 099 or of two or four digits, field names with a blank or a control byte, and a 200 without a length whose connection is reset while a large body is streamed: all were refused with 502 before this commit. No finding; the tests stay.

--- a/crates/gate/tests/backends.rs
+++ b/crates/gate/tests/backends.rs
@@ -142,6 +142,41 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_responses_without_valid_status_or_field_names() {
+    for response in [
+        "HTTP/1.1 000 OK\r\ncontent-length: 4\r\n\r\nevil",
+        "HTTP/1.1 099 OK\r\ncontent-length: 4\r\n\r\nevil",
+        "HTTP/1.1 20 OK\r\ncontent-length: 4\r\n\r\nevil",
+        "HTTP/1.1 2000 OK\r\ncontent-length: 4\r\n\r\nevil",
+        "HTTP/1.1 200 OK\r\nx y: 1\r\ncontent-length: 4\r\n\r\nevil",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx\t: 1\r\n\r\nevil",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx\0y: 1\r\n\r\nevil",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx\x01y: 1\r\n\r\nevil",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx\x7fy: 1\r\n\r\nevil",
+        "HTTP/1.1 200 OK\r\ncontent-length : 4\r\n\r\nevil",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding\t: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n: 1\r\n\r\nevil",
+    ] {
+        let raw = RawBackend::start(&[response]).await;
+        let fixture = gate_for(&[raw.addr]).await;
+        let got = exchange(fixture.addr(), keyed(&fixture, "POST", "/reader", "", "")).await;
+        let refusal = expected(502, "backend-failed", "unknown");
+        assert_eq!(refusal_of(&got), refusal, "{response:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_response_without_length_during_upload() {
+    let raw = RawBackend::start(&["HTTP/1.1 200 OK\r\n\r\npart"]).await;
+    let fixture = gate_for(&[raw.addr]).await;
+    for _ in 0..20 {
+        let upload = keyed(&fixture, "POST", "/reader", "", &"x".repeat(LARGE));
+        let got = exchange(fixture.addr(), upload).await;
+        assert_eq!(got.status, 502, "{}", got.text());
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn discards_bytes_after_response() {
     let overlong = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok\
