--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend;
 pub mod history;
 pub mod listener;
+pub mod memory;
 pub mod platform;
 pub mod raw;
 mod server;
