Decide apart from the I/O which VM is asked for which parts

Cause: the choice of a VM and of the parts stood in the task that fetches them, so no test could replay how a value spreads in a zone. Change: it stands in steer::spread, as it was.

--- a/crates/entry/src/bulk.rs
+++ b/crates/entry/src/bulk.rs
@@ -7,7 +7,6 @@
 //! has, so the leader's link need not carry a value once for each VM of the zone.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,8 +15,7 @@
 use event::Event;
 use fleet::Item;
 use fleet::parts::{Deferred, Id, Values};
-use rand::Rng as _;
-use rand::seq::IteratorRandom as _;
+use steer::spread::{MAX_REQUESTED, Rest, Sources};
 use steer::upload::Allowance;
 use tokio::sync::Notify;
 use tokio::task::spawn_blocking;
@@ -37,16 +35,6 @@
 /// Path of the parts; their identities follow, in hexadecimal digits, separated by commas.
 pub const PATH: &str = "/parts?ids=";
 
-/// Most parts that are requested at once.
-const MAX_REQUESTED: usize = 16;
-
-/// Pause before a VM that is busy with others' requests for parts is asked again.
-const BUSY_REST: Duration = Duration::from_millis(30);
-
-/// Number of VMs that told of a value last, and of highest ranks of the zone, which are asked first.
-const MAX_GIVERS: usize = 2;
-const FIRST_RANKS: usize = 2;
-
 /// Large values that this VM has or is fetching, and who is asked for them.
 #[derive(Debug)]
 pub struct Bulk {
@@ -54,10 +42,7 @@
     pub values: RefCell<Values>,
     is_due: Notify,
     is_done: Notify,
-    /// VMs that told of a value, the latest last.
-    givers: RefCell<VecDeque<SocketAddr>>,
-    /// VMs that are not asked until the given time.
-    resting: RefCell<HashMap<SocketAddr, Instant>>,
+    sources: RefCell<Sources>,
     allowance: RefCell<Allowance>,
 }
 
@@ -69,8 +54,7 @@
             values: RefCell::default(),
             is_due: Notify::new(),
             is_done: Notify::new(),
-            givers: RefCell::default(),
-            resting: RefCell::default(),
+            sources: RefCell::default(),
             allowance: RefCell::new(Allowance::new(link_bytes_per_s, Instant::now())),
         }
     }
@@ -86,28 +70,13 @@
         let _ = timeout(limit, applied).await;
     }
 
-    fn note_giver(&self, addr: SocketAddr) {
-        let mut givers = self.givers.borrow_mut();
-        givers.retain(|giver| *giver != addr);
-        givers.push_back(addr);
-        if givers.len() > MAX_GIVERS {
-            givers.pop_front();
-        }
-    }
-
-    fn let_rest(&self, addr: SocketAddr, rest: Duration) {
-        let rest = rest.mul_f64(rand::rng().random_range(0.5..1.5));
-        let now = Instant::now();
-        let mut resting = self.resting.borrow_mut();
-        resting.retain(|_, until| *until > now);
-        resting.insert(addr, now + rest);
+    fn let_rest(&self, addr: SocketAddr, rest: Rest) {
+        let mut sources = self.sources.borrow_mut();
+        sources.let_rest(addr, rest, Instant::now(), &mut rand::rng());
     }
 
     fn rests(&self, addr: SocketAddr) -> bool {
-        let resting = self.resting.borrow();
-        resting
-            .get(&addr)
-            .is_some_and(|until| *until > Instant::now())
+        self.sources.borrow().rests(addr, Instant::now())
     }
 }
 
@@ -115,7 +84,7 @@
     /// Records that the store has the large value `deferred`, as the VM at `giver` tells.
     pub fn offer(&self, deferred: Deferred, giver: SocketAddr) {
         self.bulk.values.borrow_mut().offer(deferred);
-        self.bulk.note_giver(giver);
+        self.bulk.sources.borrow_mut().note_giver(giver);
         self.bulk.is_due.notify_one();
     }
 
@@ -132,23 +101,15 @@
         self.bulk.is_due.notify_one();
     }
 
-    /// Returns a VM to ask for parts: one that told of the value or ranks first in the zone, else another one
-    /// of the zone, else any.
+    /// Returns a VM to ask for parts.
     fn part_source(&self) -> Option<SocketAddr> {
         let membership = self.membership.borrow();
         let zone = membership.highest_state_addrs(usize::MAX);
-        let givers = self.bulk.givers.borrow();
-        let first = givers.iter().chain(zone.iter().take(FIRST_RANKS));
-        let mut rng = rand::rng();
-        let is_due = |addr: &&SocketAddr| !self.bulk.rests(**addr);
-        let first = first.filter(is_due).choose(&mut rng);
-        let source = first.or_else(|| zone.iter().filter(is_due).choose(&mut rng));
         let seeds = self.settings.seeds.iter().copied();
-        source.copied().or_else(|| {
-            let others = membership.state_addrs().chain(seeds);
-            let others = others.filter(|addr| addr.ip() != self.settings.ip);
-            others.filter(|addr| is_due(&addr)).choose(&mut rng)
-        })
+        let others = membership.state_addrs().chain(seeds);
+        let others = others.filter(|addr| addr.ip() != self.settings.ip);
+        let sources = self.bulk.sources.borrow();
+        sources.choose(&zone, others, Instant::now(), &mut rand::rng())
     }
 }
 
@@ -167,7 +128,7 @@
     let bytes = parts.iter().map(Bytes::len).sum();
     let mut allowance = state.bulk.allowance.borrow_mut();
     if bytes > 0 && !allowance.take(bytes, Instant::now()) {
-        return Reply::refused(Refusal::NoMemory(BUSY_REST));
+        return Reply::refused(Refusal::NoMemory(Rest::Busy.pause()));
     }
     match postcard::to_stdvec(&parts) {
         Ok(body) => Reply::with_status(200, None, Bytes::from(body)),
--- a/crates/entry/src/bulk/fetch.rs
+++ b/crates/entry/src/bulk/fetch.rs
@@ -7,26 +7,18 @@
 use event::Event;
 use fleet::parts::Part;
 use rand::Rng as _;
+use steer::spread::{Rest, choose_parts};
 use tokio::time::sleep;
 
-use super::{BUSY_REST, MAX_REQUESTED, PATH};
+use super::PATH;
 use crate::exchange::Connection;
 use crate::state::State;
 use crate::store::Store;
 use crate::transfer::{Progress, Purpose};
 
-/// Most bytes that are requested at once: 26 ms on a link of 10 Mbit/s.
-const MAX_REQUESTED_BYTES: u32 = 32 << 10;
-
 /// Longest time to wait for the next bytes of parts, which may come from another region.
 const PART_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Pause before a VM that has none of the requested parts is asked again.
-const EMPTY_REST: Duration = Duration::from_millis(200);
-
-/// Pause before a VM that did not answer is asked again.
-const FAILED_REST: Duration = Duration::from_millis(500);
-
 /// Number of requests without a needed part after which a later version is fetched instead.
 const MAX_BARREN: u32 = 4;
 
@@ -41,24 +33,6 @@
 /// Error of a VM that is busy with others' requests for parts.
 const BUSY: &str = "status 503";
 
-/// Returns parts of `missing` to request at once. They begin at a random one, so that VMs that fetch the same
-/// value soon have different parts to pass on.
-fn choose(missing: &[Part]) -> Vec<Part> {
-    let start = rand::rng().random_range(0..missing.len());
-    let parts = missing[start..].iter().chain(&missing[..start]);
-    let parts = parts.take(MAX_REQUESTED);
-    let mut bytes = 0;
-    let fitting = parts.take_while(|part| {
-        bytes += part.bytes;
-        bytes <= MAX_REQUESTED_BYTES
-    });
-    let fitting: Vec<Part> = fitting.copied().collect();
-    if fitting.is_empty() {
-        return vec![missing[start]];
-    }
-    fitting
-}
-
 /// Fetches the values that are missing.
 #[derive(Debug)]
 pub struct Fetcher<'a, S> {
@@ -101,15 +75,16 @@
             sleep(SHORT_PAUSE).await;
             return;
         };
-        match self.request(source, &choose(&missing)).await {
+        let parts = choose_parts(&missing, &mut rand::rng());
+        match self.request(source, &parts).await {
             Ok(0) => {
-                self.state.bulk.let_rest(source, EMPTY_REST);
+                self.state.bulk.let_rest(source, Rest::Empty);
                 self.note_barren();
             }
             Ok(_) => self.note_progress(),
             Err(rest) => {
                 self.state.bulk.let_rest(source, rest);
-                if rest == BUSY_REST {
+                if rest == Rest::Busy {
                     // It has what is missing, so the store need not send it.
                     self.next_call = None;
                 }
@@ -128,8 +103,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with the time for which the VM is not to be asked.
-    async fn request(&mut self, source: SocketAddr, parts: &[Part]) -> Result<usize, Duration> {
+    /// Fails with the reason for which the VM is not to be asked for a while.
+    async fn request(&mut self, source: SocketAddr, parts: &[Part]) -> Result<usize, Rest> {
         let ids: Vec<String> = parts
             .iter()
             .map(|part| format!("{:x}", part.id.0))
@@ -142,13 +117,13 @@
             .note_transfer(Purpose::Parts, &source.to_string(), &progress, age_ms);
         let parts = match answered {
             Ok(parts) => parts,
-            Err(error) if error == BUSY => return Err(BUSY_REST),
+            Err(error) if error == BUSY => return Err(Rest::Busy),
             Err(error) => {
                 event::emit(&Event::NeighbourUnreachable {
                     addr: source,
                     error,
                 });
-                return Err(FAILED_REST);
+                return Err(Rest::Failed);
             }
         };
         let mut values = self.state.bulk.values.borrow_mut();
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod server_limit;
 pub mod spill;
 pub mod split;
+pub mod spread;
 pub mod upload;
 pub mod warmup;
 pub mod window;
