--- a/crates/entry/src/sync/tests/slow_link.rs
+++ b/crates/entry/src/sync/tests/slow_link.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use fleet::parts::{Deferred, Manifest};
 use fleet::report::{Announcement, Message, Report, Scope};
 use fleet::{Config, Item, Phase, Registration, Version};
 use rand::rngs::StdRng;
@@ -35,6 +36,9 @@
 /// As much as a value of the store may have.
 const LARGE_BYTES: usize = 1_000_000;
 
+/// Time that the store takes for the answer to a question for one key.
+const GET_TIME: Duration = Duration::from_millis(300);
+
 /// Bytes that the link passes on at once.
 const CHUNK_BYTES: usize = 2 << 10;
 
@@ -46,6 +50,8 @@
 struct Keys {
     records: RefCell<BTreeMap<String, Record>>,
     revision: Cell<u64>,
+    /// Number of single keys that were asked for.
+    gets: Cell<u32>,
 }
 
 impl Keys {
@@ -124,8 +130,17 @@
         })
     }
 
-    async fn get(&mut self, _key: &str, _progress: &Progress) -> Result<Page, StoreError> {
-        Err(StoreError::NotFound)
+    async fn get(&mut self, key: &str, _progress: &Progress) -> Result<Page, StoreError> {
+        let record = self.keys.records.borrow().get(key).cloned();
+        let page = Page {
+            items: vec![record.ok_or(StoreError::NotFound)?],
+            has_more: false,
+            revision: self.keys.revision.get(),
+            era: None,
+        };
+        self.keys.gets.set(self.keys.gets.get() + 1);
+        sleep(GET_TIME).await;
+        Ok(page)
     }
 
     async fn announce(&mut self, _zone: &str, _bytes: &[u8]) -> Result<Option<u64>, StoreError> {
@@ -392,6 +407,44 @@
     });
 }
 
+/// Tells `vm` of the store's configuration, whose parts nobody has.
+fn name_config(vm: &State, keys: &Keys) {
+    let records = keys.records.borrow();
+    let record = &records["op/config"];
+    let value = record.value.as_ref().expect("configuration");
+    let deferred = Deferred {
+        key: record.key.clone(),
+        revision: record.revision,
+        manifest: Manifest::of(value),
+    };
+    let nobody = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+    vm.offer(deferred, nobody);
+}
+
+/// Guards against a VM that stays at a version for good, since the store sent it while a later one was named.
+#[test]
+fn version_named_while_the_store_sends_an_earlier_one_is_lost() {
+    run_local(async {
+        let keys = Rc::new(Keys::default());
+        let vm = state();
+        let client = Client {
+            keys: Rc::clone(&keys),
+            is_cut_off: false,
+        };
+        spawn_local(bulk::run(Rc::clone(&vm), client));
+        keys.put("op/config", &large_config(2, 6));
+        name_config(&vm, &keys);
+        while keys.gets.get() == 0 {
+            sleep(POLL_INTERVAL).await;
+        }
+        keys.put("op/config", &large_config(3, 7)[..LARGE_BYTES / 2]);
+        name_config(&vm, &keys);
+        while vm.version().0 != 3 {
+            sleep(POLL_INTERVAL).await;
+        }
+    });
+}
+
 /// Returns the response of a VM of a version without parts, which knows a large configuration.
 fn whole_response() -> Vec<u8> {
     let record = |key: &str, value: Bytes| Record {
--- a/crates/fleet/src/parts/tests.rs
+++ b/crates/fleet/src/parts/tests.rs
@@ -107,6 +107,29 @@
     assert!(taken >= 2, "{taken}");
 }
 
+/// Guards against a version that is never fetched, since an earlier one arrived whole after it became known.
+#[test]
+fn later_version_is_lost_when_an_earlier_one_arrives() {
+    let earlier = Bytes::from(text(1, 200_000));
+    let later = Bytes::from(text(2, 150_000));
+    let mut source = Values::default();
+    source.keep(&later);
+    let mut values = Values::default();
+    values.offer(deferred(1, &earlier));
+    values.offer(deferred(2, &later));
+    values.keep(&earlier);
+    values.offer(deferred(1, &earlier));
+    let mut taken = Vec::new();
+    while values.is_fetching() {
+        fetch(&mut values, &mut source, 5);
+        if let Some((done, _)) = values.complete() {
+            assert!(values.finish(&done));
+            taken.push(done.revision);
+        }
+    }
+    assert_eq!(taken.last(), Some(&2));
+}
+
 #[test]
 fn part_of_another_value_is_not_kept() {
     let mut values = Values::default();
