Begin the counts of a split anew when its weights change

What callers saw: after a change of the weights, one service of a split got all requests of the route ("weights are not kept: stimme got N of N requests").

Cause: a split corrects the shares of the last 100 to 200 requests of each VM. Its counts are kept under the route's name, so requests that were split by the earlier weights, or among other services, counted as a deviation from the new ones.

Change: the counts remember by which targets and weights the requests were split, and begin anew with others. A version that leaves the weights as they are changes nothing.

--- a/crates/steer/src/split.rs
+++ b/crates/steer/src/split.rs
@@ -15,8 +15,14 @@
 const MAX_COUNT: f64 = 200.0;
 
 /// Request counts of one route by service.
+///
+/// Counts say how far shares are from the weights only if the requests were split by these weights. So they
+/// start anew when a configuration changes the weights, rather than make up for requests that kept to others.
 #[derive(Debug, Default)]
 pub struct Split {
+    /// Targets by whose weights the counted requests were split.
+    targets: Vec<Target>,
+    /// Requests by index of the target.
     counts: Vec<f64>,
 }
 
@@ -26,7 +32,8 @@
         if targets.len() < 2 {
             return 0;
         }
-        if self.counts.len() != targets.len() {
+        if self.targets != targets {
+            self.targets = targets.to_vec();
             self.counts = vec![0.0; targets.len()];
         }
         let by_object = by_weight(targets, object);
