Keep the latest known version of a large value pending until it is taken

What callers saw: requests handled by an earlier version, seconds or minutes after a later one was acknowledged, at one VM (CONFIG); its link is free, and its neighbours are up to date.

Cause: a VM counts a revision as known as soon as it knows the parts of its values, so nobody names a value to it twice. A version that was offered while another one was being fetched took its place if it needed fewer bytes, whatever its revision. The store's answer with an earlier version, asked for as no VM had its parts, needs no bytes at all: the later version that was named meanwhile was forgotten until the next one was written.

Change: an earlier version may go first if it needs fewer bytes, but the latest known one stays pending behind it.

--- a/crates/fleet/src/parts.rs
+++ b/crates/fleet/src/parts.rs
@@ -94,15 +94,29 @@
 struct Pending {
     /// The version that is being fetched.
     target: Deferred,
-    /// A later one, fetched next.
+    /// The latest known version, if that is another one: later than `target`, and fetched next.
     next: Option<Deferred>,
 }
 
+impl Pending {
+    /// Returns the latest known version.
+    fn latest(&self) -> &Deferred {
+        self.next.as_ref().unwrap_or(&self.target)
+    }
+
+    /// Fetches `deferred` from now on, and the latest known version next, if that is later.
+    fn retarget(&mut self, deferred: Deferred) {
+        let earlier = std::mem::replace(&mut self.target, deferred);
+        let latest = self.next.take().unwrap_or(earlier);
+        self.next = Some(latest).filter(|latest| latest.revision > self.target.revision);
+    }
+}
+
 /// Large values: those that this VM has, and those that it is fetching.
 ///
-/// A version that is being fetched is completed, even if a later one becomes known meanwhile, unless that one
+/// A version that is being fetched is completed, even if a later one becomes known meanwhile, unless another one
 /// needs fewer bytes. So versions that follow each other faster than they can be fetched do not keep each
-/// other from arriving.
+/// other from arriving. The latest known version stays pending until it is taken, whatever arrives before it.
 #[derive(Debug, Default)]
 pub struct Values {
     pending: BTreeMap<String, Pending>,
@@ -125,18 +139,15 @@
             self.pending.insert(deferred.key, pending);
             return;
         };
-        if pending.target == deferred {
-            return;
-        }
-        let is_closer =
-            self.missing_bytes(&deferred.manifest) <= self.missing_bytes(&pending.target.manifest);
+        let missing = self.missing_bytes(&deferred.manifest);
+        let missing_of_target = self.missing_bytes(&pending.target.manifest);
+        let is_later = deferred.revision > pending.latest().revision;
         let Some(pending) = self.pending.get_mut(&deferred.key) else {
             return;
         };
-        if is_closer {
-            pending.target = deferred;
-            pending.next = None;
-        } else {
+        if missing < missing_of_target || (is_later && missing == missing_of_target) {
+            pending.retarget(deferred);
+        } else if is_later {
             pending.next = Some(deferred);
         }
     }
@@ -222,11 +233,15 @@
         !self.pending.is_empty()
     }
 
+    /// Returns whether a version of the value of `key` is being fetched.
+    #[must_use]
+    pub fn is_pending(&self, key: &str) -> bool {
+        self.pending.contains_key(key)
+    }
+
     /// Returns the latest known version of each value that is being fetched.
     pub fn deferred(&self) -> impl Iterator<Item = &Deferred> {
-        self.pending
-            .values()
-            .map(|pending| pending.next.as_ref().unwrap_or(&pending.target))
+        self.pending.values().map(Pending::latest)
     }
 
     /// Returns the part `id`, if this VM has it.
--- a/crates/fleet/src/parts/tests.rs
+++ b/crates/fleet/src/parts/tests.rs
@@ -140,14 +140,16 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
 
-    /// Whatever versions are offered and whichever parts arrive, what is taken is whole, and the last version
-    /// is taken in the end.
+    /// Whatever versions are offered and whichever parts arrive, also if an earlier version arrives whole, what is
+    /// taken is whole, and the last version is taken in the end.
     #[test]
-    fn taken_values_are_whole(steps in prop::collection::vec((0_u64..6, 0_usize..40, 1_usize..30), 1..12)) {
+    fn taken_values_are_whole(
+        steps in prop::collection::vec((0_u64..6, 0_usize..40, 1_usize..30, 0_usize..12), 1..12),
+    ) {
         let mut source = Values::default();
         let mut values = Values::default();
         let mut versions: Vec<Bytes> = Vec::new();
-        for (revision, (seed, cut, most)) in steps.iter().enumerate() {
+        for (revision, (seed, cut, most, whole)) in steps.iter().enumerate() {
             let mut content = text(*seed, 60_000);
             content.truncate(60_000 - cut * 500);
             let value = Bytes::from(content);
@@ -155,6 +157,10 @@
             versions.push(value.clone());
             values.offer(deferred(revision as u64, &value));
             fetch(&mut values, &mut source, *most);
+            if *whole < revision && values.is_pending(KEY) {
+                values.keep(&versions[*whole]);
+                values.offer(deferred(*whole as u64, &versions[*whole]));
+            }
             if let Some((done, content)) = values.complete() {
                 let version = usize::try_from(done.revision).expect("few versions");
                 prop_assert_eq!(&content, &versions[version]);
