Name the later version of a large value to VMs that follow

Cause: a VM that was fetching a version of a value again, an earlier one than it had, named that one to the VMs which follow it and left out the later one; these count the revision as known. It happens if the store's answer for a value comes after the value itself came from other VMs.

Change: what is later is named, and an answer of the store for a value that is no longer fetched is not offered.

Evidence: earlier_version_is_named_in_place_of_the_later_one failed before (10 in place of 20) and passes. Found by reading.

--- a/crates/entry/src/bulk/fetch.rs
+++ b/crates/entry/src/bulk/fetch.rs
@@ -192,7 +192,9 @@
         let Ok(page) = page else { return };
         let is_known_era = self.state.eras().compare(page.era).is_eq();
         for record in page.items.into_iter().filter(|_| is_known_era) {
-            if let Some(value) = &record.value {
+            // It may have come from another VM meanwhile.
+            let is_wanted = self.state.bulk.values.borrow().is_pending(&record.key);
+            if let Some(value) = record.value.as_ref().filter(|_| is_wanted) {
                 self.state.offer_whole(record.key, value, record.revision);
             }
         }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -160,19 +160,23 @@
     let pending = values.deferred();
     let pending = pending.filter(|pending| is_complete || pending.revision > after);
     let mut deferred: Vec<Deferred> = pending.cloned().collect();
-    let is_pending = |record: &Record| values.deferred().any(|pending| pending.key == record.key);
     let is_large = |record: &Record| {
         let bytes = record.value.as_ref().map_or(0, Bytes::len);
-        bytes >= LARGE_BYTES || is_pending(record)
+        bytes >= LARGE_BYTES || values.is_pending(&record.key)
     };
     for record in snapshot.items.extract_if(.., |record| is_large(record)) {
-        if let Some(value) = record.value.as_ref().filter(|_| !is_pending(&record)) {
-            deferred.push(Deferred {
-                manifest: values.manifest(value),
-                key: record.key,
-                revision: record.revision,
-            });
-        }
+        let is_outdated = values
+            .deferred()
+            .any(|pending| pending.key == record.key && pending.revision >= record.revision);
+        let Some(value) = record.value.as_ref().filter(|_| !is_outdated) else {
+            continue;
+        };
+        deferred.retain(|pending| pending.key != record.key);
+        deferred.push(Deferred {
+            manifest: values.manifest(value),
+            key: record.key,
+            revision: record.revision,
+        });
     }
     deferred
 }
@@ -231,3 +235,6 @@
         steady_ms: number(&head.fields, STEADY),
     })
 }
+
+#[cfg(test)]
+mod tests;
