Read urgent keys side by side while a large answer of the store arrives

Cause: beside a large answer, evacuations and servers were read one after the other on a connection that was opened then. Behind the large answer each step takes some 0.4 s, so what was read became stale, followers went to the store themselves, and received the large value whole as well. And the state counted as read as soon as evacuations were, before the servers.

Change: each group has a client that keeps its connection, both are read at the same time from 50 ms on and each 200 ms, and the state is as recent as the earlier of the two readings.

Evidence: removal_waits_for_evacuations_beside_a_large_response and state_counts_as_recent_though_servers_were_not_read fail without the change.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -343,7 +343,7 @@
 
     /// Records that what is urgent is known as of `read_at`, while a large value is on its way.
     pub fn note_urgent(&self, read_at: Instant) {
-        self.read_at.set(Some(read_at));
+        self.read_at.set(self.read_at.get().max(Some(read_at)));
     }
 
     /// Records that the next changes may be old: a listing contains heartbeats that the leader left
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -13,6 +13,7 @@
 //! When the platform restores its store from an older copy, the store names a later era. A reader then
 //! lists all keys once more; the decisions about what to keep are in [`fleet::restore`].
 
+use std::cell::Cell;
 use std::cmp::Ordering;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -22,7 +23,7 @@
 use event::Event;
 use fleet::restore::Position;
 use fleet::roster::REJOIN_GRACE;
-use futures::future::join_all;
+use futures::future::{join_all, select_all};
 use rand::Rng as _;
 use rand::seq::IndexedRandom as _;
 use tokio::time::sleep;
@@ -90,14 +91,20 @@
 /// Interval between two fetches from the leader.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Time for which a large response may take up a link before urgent keys are watched beside it.
-const LARGE_GRACE: Duration = Duration::from_millis(150);
+/// Time for which a large response may take up a link before urgent keys are watched beside it. Later, more of
+/// the response is on its way, and what comes after it waits the longer.
+const LARGE_GRACE: Duration = Duration::from_millis(50);
+
+/// Pause between two watches of urgent keys beside a large response. With the time that a response takes behind
+/// the large one, the state must not become stale.
+const URGENT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Name of the store as the source of a response.
 const STORE: &str = "store";
 
 /// Keeps the state up to date.
-pub async fn run<S: Store>(state: Rc<State>, mut store: S) {
+pub async fn run<S: Store>(state: Rc<State>, store: S) {
+    let mut clients = Clients::new(store);
     let mut reader = Reader {
         state: &state,
         started: Instant::now(),
@@ -105,10 +112,10 @@
         unreachable_since: None,
         failures: 0,
         next_call: Instant::now(),
-        urgent_until: 0,
+        urgent_until: Cell::new(0),
     };
     loop {
-        let pause = reader.update(&mut store).await;
+        let pause = reader.update(&mut clients).await;
         sleep(pause).await;
     }
 }
@@ -124,6 +131,23 @@
     Unreachable,
 }
 
+/// Clients of the store.
+struct Clients<S> {
+    all: S,
+    /// Those for the groups of [`Group::URGENT`]. They keep their connections: to open one takes long on a link
+    /// that a large response fills.
+    urgent: [S; Group::URGENT.len()],
+}
+
+impl<S: Store> Clients<S> {
+    fn new(store: S) -> Self {
+        Self {
+            urgent: Group::URGENT.map(|_| store.new_client()),
+            all: store,
+        }
+    }
+}
+
 struct Reader<'a> {
     state: &'a State,
     started: Instant,
@@ -136,12 +160,12 @@
     /// When the store may be called again after a failure.
     next_call: Instant,
     /// Revision up to which urgent keys were read beside a large response.
-    urgent_until: u64,
+    urgent_until: Cell<u64>,
 }
 
 impl Reader<'_> {
     /// Updates the state once; returns the pause until the next update.
-    async fn update<S: Store>(&mut self, store: &mut S) -> Duration {
+    async fn update<S: Store>(&mut self, clients: &mut Clients<S>) -> Duration {
         if self.follow::<S>().await {
             return FOLLOW_INTERVAL;
         }
@@ -158,7 +182,7 @@
                 }
             }
         }
-        match self.read_store(store).await {
+        match self.read_store(clients).await {
             Ok(()) => {
                 self.state.metrics.note_store_call("changes", true);
                 self.failures = 0;
@@ -270,10 +294,10 @@
         }
     }
 
-    async fn read_store<S: Store>(&mut self, store: &mut S) -> Result<(), StoreError> {
+    async fn read_store<S: Store>(&mut self, clients: &mut Clients<S>) -> Result<(), StoreError> {
         let sent_at = Instant::now();
         if !self.is_listed {
-            let listing = list(self.state, store).await?;
+            let listing = list(self.state, &mut clients.all).await?;
             let is_start = self.state.read_at().is_none() && listing.era.is_some();
             let has_learned = is_start && self.learn_from_peer::<S>().await;
             let order = self.state.eras().compare(listing.era);
@@ -304,7 +328,7 @@
             expire_missing::<S>(self.state);
             return Ok(());
         }
-        let batch = self.watch(store).await?;
+        let batch = self.watch(clients).await?;
         match self.state.eras().compare(batch.era) {
             Ordering::Less => {
                 return Err(StoreError::EarlierEra(batch.era.unwrap_or_default()));
@@ -317,7 +341,7 @@
         // Another VM's state may have come meanwhile.
         if batch.revision >= self.state.revision() {
             let mut events = batch.events;
-            if self.urgent_until > self.state.revision() {
+            if self.urgent_until.get() > self.state.revision() {
                 let replica = self.state.replica();
                 events.retain(|event| !replica.knows_later(event));
             }
@@ -329,12 +353,14 @@
     }
 
     /// Waits for changes of all keys. While a large response arrives, urgent keys are watched beside it.
-    async fn watch<S: Store>(&mut self, store: &mut S) -> Result<Batch, StoreError> {
+    async fn watch<S: Store>(&self, clients: &mut Clients<S>) -> Result<Batch, StoreError> {
         let state = self.state;
         let progress = Progress::default();
-        let mut beside = store.new_client();
-        let watched = store.watch(Group::All, state.revision(), WATCH_WAIT, &progress);
-        let urgent = self.watch_urgent(&mut beside, &progress);
+        let revision = state.revision();
+        let watched = clients
+            .all
+            .watch(Group::All, revision, WATCH_WAIT, &progress);
+        let urgent = self.watch_urgent(&mut clients.urgent, &progress);
         let batch = tokio::select! {
             biased;
             batch = watched => batch,
@@ -347,24 +373,49 @@
 
     /// Applies changes of urgent keys from the time on at which the response that `progress` tells of is known
     /// to be large and takes longer than [`LARGE_GRACE`].
-    async fn watch_urgent<S: Store>(&mut self, store: &mut S, progress: &Progress) -> Infallible {
+    async fn watch_urgent<S: Store>(
+        &self,
+        clients: &mut [S; Group::URGENT.len()],
+        progress: &Progress,
+    ) -> Infallible {
         progress.large().await;
         sleep(LARGE_GRACE).await;
-        let mut known = Group::URGENT.map(|group| (group, self.state.revision()));
+        let read_at = Group::URGENT.map(|_| Cell::new(None));
+        let watches = Group::URGENT.into_iter().zip(clients).enumerate();
+        let watches = watches.map(|(index, (group, client))| {
+            Box::pin(self.watch_group(group, client, &read_at, index))
+        });
+        select_all(watches).await.0
+    }
+
+    /// Applies changes of `group`, of which `read_at` has the times of the readings, at `index`. What is urgent is
+    /// known as of the earliest reading of all groups.
+    async fn watch_group<S: Store>(
+        &self,
+        group: Group,
+        client: &mut S,
+        read_at: &[Cell<Option<Instant>>],
+        index: usize,
+    ) -> Infallible {
+        let mut revision = self.state.revision();
         loop {
-            for (group, revision) in &mut known {
-                let sent_at = Instant::now();
-                let progress = Progress::default();
-                let batch = store.watch(*group, *revision, Duration::ZERO, &progress);
-                let Ok(batch) = batch.await else { continue };
-                if self.state.eras().compare(batch.era).is_eq() && batch.revision >= *revision {
-                    *revision = batch.revision;
-                    self.urgent_until = self.urgent_until.max(batch.revision);
-                    apply::<S>(self.state, batch.events);
-                    self.state.note_urgent(sent_at);
+            let sent_at = Instant::now();
+            let progress = Progress::default();
+            let batch = client.watch(group, revision, Duration::ZERO, &progress);
+            if let Ok(batch) = batch.await
+                && self.state.eras().compare(batch.era).is_eq()
+                && batch.revision >= revision
+            {
+                revision = batch.revision;
+                self.urgent_until.set(self.urgent_until.get().max(revision));
+                apply::<S>(self.state, batch.events);
+                read_at[index].set(Some(sent_at));
+                let earliest = read_at.iter().map(Cell::get).min().flatten();
+                if let Some(earliest) = earliest {
+                    self.state.note_urgent(earliest);
                 }
             }
-            sleep(WATCH_PAUSE).await;
+            sleep(URGENT_PAUSE).await;
         }
     }
 
--- a/crates/entry/src/sync/tests.rs
+++ b/crates/entry/src/sync/tests.rs
@@ -21,6 +21,7 @@
 use crate::store::{Batch, Group, Page, Record, Store, StoreError};
 use crate::transfer::Progress;
 
+mod beside;
 mod slow_link;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
