--- a/crates/entry/src/bulk.rs
+++ b/crates/entry/src/bulk.rs
@@ -29,6 +29,8 @@
 use crate::supervise;
 
 mod fetch;
+mod lane;
+mod patience;
 
 use fetch::Fetcher;
 
@@ -70,6 +72,12 @@
         let _ = timeout(limit, applied).await;
     }
 
+    /// Returns whether parts are missing without which no value can be applied.
+    fn is_short(&self) -> bool {
+        let values = self.values.borrow();
+        values.is_fetching() && !values.has_complete()
+    }
+
     fn let_rest(&self, addr: SocketAddr, rest: Rest) {
         let mut sources = self.sources.borrow_mut();
         sources.let_rest(addr, rest, Instant::now(), &mut rand::rng());
--- a/crates/entry/src/sync/tests/beside.rs
+++ b/crates/entry/src/sync/tests/beside.rs
@@ -8,7 +8,8 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::super::{LARGE_GRACE, URGENT_PAUSE, WATCH_PAUSE, run};
+use super::super::watch::{LARGE_GRACE, URGENT_PAUSE};
+use super::super::{WATCH_PAUSE, run};
 use super::{OneKey, POLL_INTERVAL};
 use crate::fixture::{run_local, state};
 use crate::state::State;
