Drop what is kept of routes that a configuration no longer has

Found while looking for state that outlives the configuration it belongs to: the counts of splits and the sizes of responses stay for each route that a VM ever had, while versions add routes by the thousand. They go with the route now, so one that comes back under the same name begins anew. routes_that_were_removed_are_remembered_for_good failed without the change.

--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -241,6 +241,11 @@
         }
     }
 
+    /// Drops the sizes of the routes for which `is_kept` returns false.
+    pub fn retain(&self, is_kept: impl Fn(&str) -> bool) {
+        self.0.borrow_mut().retain(|route, _| is_kept(route));
+    }
+
     /// Returns the bytes to reserve before a request of `route` is sent: the least of the latest responses
     /// if there were enough and all of them were large, else none.
     #[must_use]
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -182,6 +182,7 @@
         let config = Rc::new(config);
         self.config.replace(Some(Rc::clone(&config)));
         self.admission.borrow_mut().configure(&config);
+        self.forget_routes(&config);
         self.rebalance(0.0, Instant::now());
         let revision = config.version.0;
         event::emit(&Event::ConfigInForce { revision });
@@ -193,6 +194,16 @@
         }
     }
 
+    /// Drops what is kept of routes that `config` does not have.
+    fn forget_routes(&self, config: &Config) {
+        let routes = config.hosts.values().flatten();
+        let names: HashSet<&str> = routes.map(|route| route.name.as_str()).collect();
+        self.splits
+            .borrow_mut()
+            .retain(|route, _| names.contains(route.as_str()));
+        self.response_sizes.retain(|route| names.contains(route));
+    }
+
     /// Applies a backend server's registration.
     fn register(&self, id: &str, registration: Registration) -> Effect {
         let now = Instant::now();
--- a/crates/entry/src/register/tests.rs
+++ b/crates/entry/src/register/tests.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{Item, Phase, Registration};
+use fleet::{Item, Phase, Registration, Version};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
+use steer::split::Split;
 
 use crate::fixture::state;
 use crate::state::State;
@@ -322,3 +323,29 @@
         }
     }
 }
+
+/// Guards against memory that grows with each route that a configuration ever had.
+#[test]
+fn routes_that_were_removed_are_remembered_for_good() {
+    let state = state();
+    state
+        .splits
+        .borrow_mut()
+        .insert("r".to_owned(), Split::default());
+    for _ in 0..100 {
+        state.response_sizes.note("r", 1 << 20);
+    }
+    assert!(state.response_sizes.expected("r") > 0);
+    let record = Record {
+        key: "op/config".to_owned(),
+        value: Some(Bytes::new()),
+        revision: 1,
+    };
+    let config = fleet::Config {
+        version: Version(1),
+        ..fleet::Config::default()
+    };
+    state.apply(record, Item::Config(Box::new(config)));
+    assert!(state.splits.borrow().is_empty());
+    assert_eq!(state.response_sizes.expected("r"), 0);
+}
