--- a/crates/entry/src/register/tests.rs
+++ b/crates/entry/src/register/tests.rs
@@ -337,7 +337,7 @@
     }
     assert!(state.response_sizes.expected("r") > 0);
     let record = Record {
-        key: "op/config".to_owned(),
+        key: "config".to_owned(),
         value: Some(Bytes::new()),
         revision: 1,
     };
--- a/crates/entry/src/snapshot/tests.rs
+++ b/crates/entry/src/snapshot/tests.rs
@@ -12,7 +12,7 @@
 use crate::state::{Reading, State};
 use crate::store::Record;
 
-const KEY: &str = "op/config";
+const KEY: &str = "config";
 
 fn value(version: u8) -> Bytes {
     Bytes::from(vec![version; LARGE_BYTES])
--- a/crates/entry/src/sync/tests/slow_link.rs
+++ b/crates/entry/src/sync/tests/slow_link.rs
@@ -70,9 +70,9 @@
         let prefix = match group {
             Group::All => "",
             Group::Members => "members/",
-            Group::Evacuations => "op/evacuate/",
+            Group::Evacuations => "evacuations/",
             Group::Servers => "servers/",
-            Group::Config => "op/config",
+            Group::Config => "config",
         };
         let records = self.records.borrow();
         let of_group = records
@@ -149,7 +149,7 @@
 
     fn decode(record: &Record) -> Item {
         let value = record.value.as_deref().unwrap_or_default();
-        if record.key == "op/config" {
+        if record.key == "config" {
             return Item::Config(Box::new(Config {
                 version: Version(u64::from(value[0])),
                 ..Config::default()
@@ -249,7 +249,7 @@
     /// Starts both with a small configuration and one server; `host` makes the leader's address unique.
     async fn start(host: u8) -> Self {
         let keys = Rc::new(Keys::default());
-        keys.put("op/config", &[1]);
+        keys.put("config", &[1]);
         keys.put_server("ready");
         let leader = state();
         let client = Client {
@@ -342,7 +342,7 @@
 fn follower_hears_of_no_change_while_a_large_configuration_arrives() {
     run_local(async {
         let pair = Pair::start(11).await;
-        pair.keys.put("op/config", &large_config(2, 1));
+        pair.keys.put("config", &large_config(2, 1));
         sleep(Duration::from_millis(50)).await;
         pair.keys.put_server("draining");
         while pair.server_is_ready() {
@@ -359,12 +359,12 @@
     run_local(async {
         let pair = Pair::start(12).await;
         let mut text = large_config(2, 2);
-        pair.keys.put("op/config", &text);
+        pair.keys.put("config", &text);
         pair.wait_for_version(2).await;
         let before = pair.link.passed.get();
         text[0] = 3;
         text[LARGE_BYTES / 2] ^= 1;
-        pair.keys.put("op/config", &text);
+        pair.keys.put("config", &text);
         pair.wait_for_version(3).await;
         assert!(pair.link.passed.get() - before < LARGE_BYTES / 10);
     });
@@ -376,7 +376,7 @@
     run_local(async {
         let pair = Pair::start(13).await;
         let before = pair.link.passed.get();
-        pair.keys.put("op/config", &large_config(2, 3));
+        pair.keys.put("config", &large_config(2, 3));
         for cut in 1..4 {
             while pair.link.passed.get() - before < cut * LARGE_BYTES / 4 {
                 sleep(POLL_INTERVAL).await;
@@ -397,7 +397,7 @@
         spawn_local(async move {
             for version in 2..=u8::MAX {
                 let config = large_config(version, u64::from(version));
-                keys.put("op/config", &config[..LARGE_BYTES / 3]);
+                keys.put("config", &config[..LARGE_BYTES / 3]);
                 sleep(Duration::from_millis(300)).await;
             }
         });
@@ -410,7 +410,7 @@
 /// Tells `vm` of the store's configuration, whose parts nobody has.
 fn name_config(vm: &State, keys: &Keys) {
     let records = keys.records.borrow();
-    let record = &records["op/config"];
+    let record = &records["config"];
     let value = record.value.as_ref().expect("configuration");
     let deferred = Deferred {
         key: record.key.clone(),
@@ -432,12 +432,12 @@
             is_cut_off: false,
         };
         spawn_local(bulk::run(Rc::clone(&vm), client));
-        keys.put("op/config", &large_config(2, 6));
+        keys.put("config", &large_config(2, 6));
         name_config(&vm, &keys);
         while keys.gets.get() == 0 {
             sleep(POLL_INTERVAL).await;
         }
-        keys.put("op/config", &large_config(3, 7)[..LARGE_BYTES / 2]);
+        keys.put("config", &large_config(3, 7)[..LARGE_BYTES / 2]);
         name_config(&vm, &keys);
         while vm.version().0 != 3 {
             sleep(POLL_INTERVAL).await;
@@ -455,7 +455,7 @@
     let snapshot = Snapshot {
         revision: 1,
         items: vec![
-            record("op/config", Bytes::from(large_config(2, 4))),
+            record("config", Bytes::from(large_config(2, 4))),
             record("servers/i-1", Bytes::from_static(b"ready")),
         ],
         is_complete: true,
@@ -501,7 +501,7 @@
 fn vm_of_an_earlier_version_gets_a_large_configuration() {
     run_local(async {
         let pair = Pair::start(15).await;
-        pair.keys.put("op/config", &large_config(2, 5));
+        pair.keys.put("config", &large_config(2, 5));
         pair.wait_for_version(2).await;
         let progress = Progress::default();
         let connection = Connection::open(pair.link.target, Duration::from_secs(1)).await;
--- a/crates/fleet/src/parts/tests.rs
+++ b/crates/fleet/src/parts/tests.rs
@@ -5,7 +5,7 @@
 
 use super::{Deferred, Id, Manifest, Values};
 
-const KEY: &str = "op/config";
+const KEY: &str = "config";
 
 /// Returns `bytes` bytes without a pattern.
 fn text(seed: u64, bytes: usize) -> Vec<u8> {
--- a/crates/steer/tests/spread.rs
+++ b/crates/steer/tests/spread.rs
@@ -35,7 +35,7 @@
 /// Number of plays of each case.
 const SEEDS: u64 = 10;
 
-const KEY: &str = "op/config";
+const KEY: &str = "config";
 
 /// One direction of a link.
 struct Link(Instant);
