--- a/review/stand-ins-3/src/scenes/mod.rs
+++ b/review/stand-ins-3/src/scenes/mod.rs
@@ -3,6 +3,7 @@
 mod limits;
 mod poison;
 mod slow_reader;
+mod stray;
 
 use std::io;
 
@@ -14,6 +15,7 @@
         "poison-shed" => poison::with_shedding(stage),
         "poison-restart" => poison::with_restarts(stage),
         "slow-reader" => slow_reader::play(stage),
+        "stray" => stray::play(stage),
         "limits" => limits::raised(stage),
         "headers" => limits::many_headers(stage),
         _ => Err(io::Error::other(format!("no case {name}"))),
--- a/review/stand-ins-3/src/server.rs
+++ b/review/stand-ins-3/src/server.rs
@@ -39,6 +39,17 @@
     Shed,
 }
 
+/// What a server with a fault does beside its answers.
+#[derive(Clone)]
+pub struct Fault {
+    /// Returns whether the server sends a stray answer after the present one.
+    pub sends_stray: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// The stray answer. It arrives where the answer to the next request on the connection is expected.
+    pub stray: &'static str,
+    /// Whether the server goes on with a request whose connection closes.
+    pub keeps_working: bool,
+}
+
 /// A request as a server receives it.
 #[derive(Debug)]
 pub struct Request {
@@ -108,6 +119,7 @@
     record: Arc<Record>,
     runs: Arc<Runs>,
     script: Arc<Script>,
+    fault: Option<Fault>,
     /// Number of the incarnation; odd while it is up.
     life: AtomicU64,
     born: Mutex<(u64, Instant)>,
@@ -128,6 +140,22 @@
         record: &Arc<Record>,
         runs: &Arc<Runs>,
         script: Arc<Script>,
+    ) -> io::Result<Arc<Self>> {
+        Self::start_with(id, ip, zone, slots, store, record, runs, script, None)
+    }
+
+    /// Does the same with a fault.
+    #[allow(clippy::too_many_arguments)]
+    pub fn start_with(
+        id: &str,
+        ip: IpAddr,
+        zone: &str,
+        slots: usize,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+        runs: &Arc<Runs>,
+        script: Arc<Script>,
+        fault: Option<Fault>,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind((ip, 0))?;
         let server = Arc::new(Self {
@@ -140,6 +168,7 @@
             record: Arc::clone(record),
             runs: Arc::clone(runs),
             script,
+            fault,
             life: AtomicU64::new(0),
             born: Mutex::new((0, Instant::now())),
             sequence: AtomicU64::new(0),
@@ -239,6 +268,7 @@
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_read_timeout(Some(STEP * 10));
         let mut conn = Conn::new(stream);
+        let mut owes_stray = false;
         while self.is_alive(life) {
             let head = match conn.read_head() {
                 Ok(Some(head)) => head,
@@ -258,12 +288,22 @@
             if !self.read_body(&mut conn, &head, life) {
                 return;
             }
+            if let Some(fault) = self.fault.as_ref().filter(|_| owes_stray) {
+                let attempt = head.field("Attempt-Id").unwrap_or_default();
+                let line = format!("{}: a stray answer comes before that to {attempt}", self.id);
+                self.record.note(line);
+                let _ = conn.write(fault.stray.as_bytes());
+            }
             let Some(answer) = self.answer(&head, act, &conn.stream, life) else {
                 return;
             };
             if conn.write(answer.as_bytes()).is_err() {
                 return;
             }
+            owes_stray = self
+                .fault
+                .as_ref()
+                .is_some_and(|fault| (fault.sends_stray)());
         }
     }
 
@@ -389,7 +429,8 @@
             if !self.is_alive(life) {
                 return Ending::LostWithServer;
             }
-            if is_closed(stream) {
+            let keeps_working = self.fault.as_ref().is_some_and(|fault| fault.keeps_working);
+            if !keeps_working && is_closed(stream) {
                 return Ending::Dropped;
             }
             sleep(STEP);
