--- a/review/stand-ins-3/src/client.rs
+++ b/review/stand-ins-3/src/client.rs
@@ -19,8 +19,6 @@
     pub method: &'a str,
     pub path: &'a str,
     pub attempt: &'a str,
-    /// Further headers, each with its line end.
-    pub further: &'a str,
     pub body: &'a [u8],
 }
 
@@ -38,10 +36,6 @@
         Self { deadline, ..self }
     }
 
-    pub fn is_connected(&self) -> bool {
-        self.conn.is_some()
-    }
-
     fn connect(&mut self) -> io::Result<Conn> {
         if let Some(conn) = self.conn.take() {
             return Ok(conn);
@@ -58,13 +52,12 @@
             method,
             path,
             attempt,
-            further,
             body,
         } = call;
         let length = body.len();
         let deadline = self.deadline.as_millis();
         let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {attempt}\r\nAffinity-Key: 7\r\nDeadline-Ms: {deadline}\r\nKey: k1\r\n{further}Content-Length: {length}\r\n\r\n"
+            "{method} {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {attempt}\r\nAffinity-Key: 7\r\nDeadline-Ms: {deadline}\r\nKey: k1\r\nContent-Length: {length}\r\n\r\n"
         );
         // The write fails if the VM refuses the request before it has read the body.
         let written = conn.write(&[head.as_bytes(), body].concat());
--- a/review/stand-ins-3/src/scenes/mod.rs
+++ b/review/stand-ins-3/src/scenes/mod.rs
@@ -1,6 +1,5 @@
 //! The cases.
 
-mod limits;
 mod poison;
 mod slow_reader;
 mod stray;
@@ -12,12 +11,9 @@
 /// Plays the case `name`.
 pub fn play(name: &str, stage: &mut Stage) -> io::Result<Verdict> {
     match name {
-        "poison-shed" => poison::with_shedding(stage),
-        "poison-restart" => poison::with_restarts(stage),
+        "poison" => poison::play(stage),
         "slow-reader" => slow_reader::play(stage),
         "stray" => stray::play(stage),
-        "limits" => limits::raised(stage),
-        "headers" => limits::many_headers(stage),
         _ => Err(io::Error::other(format!("no case {name}"))),
     }
 }
--- a/review/stand-ins-3/src/scenes/poison.rs
+++ b/review/stand-ins-3/src/scenes/poison.rs
@@ -54,14 +54,6 @@
     status: u16,
 }
 
-/// A time in which a VM counts as not in touch.
-#[derive(Debug, Clone, Copy)]
-struct Untouched {
-    vm: usize,
-    from: Duration,
-    until: Duration,
-}
-
 impl Traffic {
     fn new() -> Self {
         Self {
@@ -88,7 +80,6 @@
                         method: "POST",
                         path: "/pay/order",
                         attempt: &attempt,
-                        further: "",
                         body: attempt.as_bytes(),
                     });
                     let status = answer.map_or(0, |head| head.status());
@@ -104,39 +95,25 @@
         }
     }
 
-    /// Sends the poison `number` again and again from `first` on, with a pause of [`POISON_PAUSE`] between two
-    /// attempts. `choose` returns the VM for an attempt; the connection is kept while that is the same one.
-    fn add_poison(
-        &mut self,
-        stage: &Stage,
-        number: usize,
-        vms: &[SocketAddr],
-        first: Duration,
-        choose: impl Fn(usize) -> usize + Send + 'static,
-    ) {
+    /// Sends the poison `number` to the VM at `addr` again and again from `first` on, with a pause of
+    /// [`POISON_PAUSE`] between two attempts. The client keeps its connection.
+    fn add_poison(&mut self, stage: &Stage, number: usize, addr: SocketAddr, first: Duration) {
         let record = Arc::clone(&stage.record);
         let is_over = Arc::clone(&self.is_over);
-        let vms = vms.to_vec();
         self.threads.push(thread::spawn(move || {
             sleep(first);
             let path = format!("{POISON}{number}");
-            let mut vm = choose(0);
-            let mut client = Client::new(vms[vm]);
+            let mut client = Client::new(addr);
             for turn in 0.. {
                 if is_over.load(Ordering::Relaxed) {
                     return;
                 }
-                if vm != choose(turn) {
-                    vm = choose(turn);
-                    client = Client::new(vms[vm]);
-                }
-                let attempt = format!("p{number}-{turn}-v{vm}");
-                record.note(format!("poison {number}: {attempt} is sent to VM {vm}"));
+                let attempt = format!("p{number}-{turn}");
+                record.note(format!("poison {number}: {attempt} is sent to {addr}"));
                 let answer = client.call(&Call {
                     method: "POST",
                     path: &path,
                     attempt: &attempt,
-                    further: "",
                     body: b"poison",
                 });
                 let answer = match answer {
@@ -196,8 +173,8 @@
     }
 }
 
-/// The servers shed a part of their requests while poison requests come again.
-pub fn with_shedding(stage: &mut Stage) -> io::Result<Verdict> {
+/// Plays the case: the servers shed a part of their requests while poison requests come again.
+pub fn play(stage: &mut Stage) -> io::Result<Verdict> {
     const POISONS: usize = 6;
     const LENGTH: Duration = Duration::from_secs(96);
     stage.store.put("op/config", &config(1, 1 << 20));
@@ -217,52 +194,11 @@
     traffic.add_clients(stage, &addrs, 16);
     for number in 0..POISONS {
         let first = Duration::from_secs(2 + 4 * number as u64);
-        let vm = stage.random.below(addrs.len());
-        traffic.add_poison(stage, number, &addrs, first, move |_| vm);
+        let addr = addrs[stage.random.below(addrs.len())];
+        traffic.add_poison(stage, number, addr, first);
     }
     sleep(LENGTH.saturating_sub(stage.record.elapsed()));
-    finish(stage, vms, traffic, POISONS, &[])
-}
-
-/// One of two VMs is stopped and started twice while a poison request comes again.
-pub fn with_restarts(stage: &mut Stage) -> io::Result<Verdict> {
-    const GRACE: Duration = Duration::from_secs(6);
-    /// Times at which the VM is stopped.
-    const STOPS: [Duration; 2] = [Duration::from_secs(42), Duration::from_secs(84)];
-    const LENGTH: Duration = Duration::from_secs(104);
-    stage.store.put("op/config", &config(1, 1 << 20));
-    let _servers = start_servers(stage, act)?;
-    let mut vms = stage.start_vms(&["a", "b"])?;
-    let addrs: Vec<SocketAddr> = vms.iter().map(Vm::addr).collect();
-    let mut traffic = Traffic::new();
-    traffic.add_clients(stage, &addrs, 16);
-    let first = Duration::from_secs(2);
-    // The request comes to both machines in turn, and to the second one while the first is not in touch.
-    let is_in_touch = Arc::new(AtomicBool::new(true));
-    let is_out = {
-        let is_in_touch = Arc::clone(&is_in_touch);
-        move || !is_in_touch.load(Ordering::Relaxed)
-    };
-    let choose = move |turn: usize| if is_out() { 1 } else { turn % 2 };
-    traffic.add_poison(stage, 0, &addrs, first, choose);
-    let mut untouched = Vec::new();
-    for at in STOPS {
-        sleep(at.saturating_sub(stage.record.elapsed()));
-        if stage.has_trouble {
-            is_in_touch.store(false, Ordering::Relaxed);
-            let from = stage.record.elapsed();
-            stage.record.note("SIGTERM to VM 0");
-            vms[0].stop_and_start(GRACE)?;
-            stage.record.note("VM 0 is started again");
-            vms[0].wait_ready()?;
-            let until = stage.record.elapsed() + CONTACT;
-            untouched.push(Untouched { vm: 0, from, until });
-            sleep(CONTACT + Duration::from_millis(500));
-            is_in_touch.store(true, Ordering::Relaxed);
-        }
-    }
-    sleep(LENGTH.saturating_sub(stage.record.elapsed()));
-    finish(stage, vms, traffic, 1, &untouched)
+    finish(stage, vms, traffic, POISONS)
 }
 
 fn finish(
@@ -270,7 +206,6 @@
     mut vms: Vec<Vm>,
     traffic: Traffic,
     poisons: usize,
-    untouched: &[Untouched],
 ) -> io::Result<Verdict> {
     let answers = traffic.end();
     for vm in &mut vms {
@@ -297,7 +232,7 @@
     }
     let mut verdict = Verdict::Held;
     for number in 0..poisons {
-        if is_broken(stage, &runs, number, untouched) {
+        if is_broken(stage, &runs, number) {
             verdict = Verdict::Broken;
         }
     }
@@ -320,7 +255,7 @@
 
 /// Returns whether the poison `number` reached servers in too many retries. Counted are the attempts of which a
 /// server began to run the request.
-fn is_broken(stage: &Stage, runs: &[Run], number: usize, untouched: &[Untouched]) -> bool {
+fn is_broken(stage: &Stage, runs: &[Run], number: usize) -> bool {
     let path = format!("{POISON}{number}");
     let mut crashes: Vec<&Run> = runs.iter().filter(|run| run.path == path).collect();
     crashes.sort_by_key(|run| run.at);
@@ -331,19 +266,7 @@
             .tell(format!("poison {number}: {count} servers crashed"));
         return false;
     };
-    let is_in_touch = |run: &Run| {
-        let vm = run
-            .attempt
-            .rsplit_once("-v")
-            .and_then(|(_, vm)| vm.parse().ok());
-        let is_out = |times: &Untouched| {
-            Some(times.vm) == vm && run.at >= times.from && run.at < times.until
-        };
-        !untouched.iter().any(is_out)
-    };
-    let late = crashes
-        .iter()
-        .filter(|run| run.at > third.at + CONTACT && is_in_touch(run));
+    let late = crashes.iter().filter(|run| run.at > third.at + CONTACT);
     let mut late: Vec<&str> = late.map(|run| run.attempt.as_str()).collect();
     late.dedup();
     stage.record.tell(format!(
--- a/review/stand-ins-3/src/scenes/slow_reader.rs
+++ b/review/stand-ins-3/src/scenes/slow_reader.rs
@@ -131,7 +131,6 @@
             method: "POST",
             path: "/pay/video",
             attempt: &attempt,
-            further: "",
             body: &vec![b'v'; BODY_BYTES],
         });
         let ended = Instant::now();
--- a/review/stand-ins-3/src/scenes/stray.rs
+++ b/review/stand-ins-3/src/scenes/stray.rs
@@ -75,7 +75,6 @@
                     method: "POST",
                     path: "/pay/order",
                     attempt: &attempt,
-                    further: "",
                     body: attempt.as_bytes(),
                 });
                 let status = answer.map_or(0, |head| head.status());
--- a/review/stand-ins-3/src/vm.rs
+++ b/review/stand-ins-3/src/vm.rs
@@ -110,19 +110,6 @@
         Ok(())
     }
 
-    /// Sends SIGTERM, waits for the end of the process and starts it again, as the platform does.
-    pub fn stop_and_start(&mut self, grace: Duration) -> io::Result<()> {
-        self.terminate()?;
-        if let Some(child) = &mut self.child {
-            let until = Instant::now() + grace;
-            while child.try_wait()?.is_none() && Instant::now() < until {
-                sleep(Duration::from_millis(20));
-            }
-        }
-        self.kill();
-        self.spawn()
-    }
-
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
