--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -15,10 +15,12 @@
 
 use std::io;
 use std::net::Ipv4Addr;
-use std::path::Path;
+use std::os::unix::process::parent_id;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use random::Random;
 use record::Record;
@@ -26,6 +28,9 @@
 use store::Store;
 use vm::{Fleet, Vm};
 
+/// Longest time that a case takes.
+const LIMIT: Duration = Duration::from_secs(115);
+
 /// Outcome of a case.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -113,8 +118,24 @@
     }
 }
 
+/// Ends this program and its entry VMs if the shell that started it ends, or if it takes too long.
+fn watch(logs: PathBuf) {
+    let parent = parent_id();
+    let started = Instant::now();
+    thread::spawn(move || {
+        while parent_id() == parent && started.elapsed() < LIMIT {
+            sleep(Duration::from_millis(200));
+        }
+        vm::end_all();
+        let _ = std::fs::remove_dir_all(logs);
+        eprintln!("the case could not run to its end");
+        std::process::exit(2);
+    });
+}
+
 fn run(name: &str, folder: &Path) -> io::Result<Verdict> {
     let mut stage = Stage::new()?;
+    watch(stage.fleet.folder.clone());
     let played = scenes::play(name, &mut stage);
     let logs = std::fs::remove_dir_all(&stage.fleet.folder);
     let verdict = match &played {
--- a/review/stand-ins-3/src/vm.rs
+++ b/review/stand-ins-3/src/vm.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,19 @@
 /// Longest time until a VM is ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
+/// Processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all entry VMs that run.
+pub fn end_all() {
+    let mut running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    for id in running.drain(..) {
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
+    }
+}
+
 /// An entry VM.
 #[derive(Debug)]
 pub struct Vm {
@@ -70,6 +84,8 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        let mut running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        running.push(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -118,6 +134,9 @@
 
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            let mut running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+            running.retain(|id| *id != child.id());
+            drop(running);
             let _ = child.kill();
             let _ = child.wait();
         }
